--- /dev/null
+++ b/libs/declarations/src/godwitdale_declarations/view.py
@@ -0,0 +1,108 @@
+"""An index over the objects in force, rebuilt when they change."""
+
+from collections.abc import Iterable
+
+from godwitdale_declarations import fold
+from godwitdale_declarations import keys
+from godwitdale_declarations import objects
+from godwitdale_declarations import selectors
+
+_DEFAULT_POLICY = objects.Policy()
+
+
+class View:
+    """Answers the questions that entries and agents ask of a state.
+
+    Attributes:
+        accounts: Client accounts by name.
+        endpoints: Endpoints by name.
+        works: Kinds of work by name.
+        groups: Groups by name.
+        selectors: Selectors in the order in which they are tried.
+        policy: Limits of the whole system.
+    """
+
+    __slots__ = (
+        "accounts",
+        "endpoints",
+        "works",
+        "groups",
+        "selectors",
+        "policy",
+        "_keys",
+    )
+
+    def __init__(self, declared: Iterable[objects.Object]) -> None:
+        self.accounts: dict[str, objects.Account] = {}
+        self.endpoints: dict[str, objects.Endpoint] = {}
+        self.works: dict[str, objects.Work] = {}
+        self.groups: dict[str, objects.Group] = {}
+        self.policy = _DEFAULT_POLICY
+        found: list[objects.Selector] = []
+        for each in declared:
+            if isinstance(each, objects.Selector):
+                found.append(each)
+            else:
+                self._add(each)
+        self.selectors = selectors.order(found)
+        self._keys = {
+            key.id: (key, account)
+            for account in self.accounts.values()
+            for key in account.keys
+        }
+
+    def _add(self, each: objects.Object) -> None:
+        if isinstance(each, objects.Account):
+            self.accounts[each.name] = each
+        elif isinstance(each, objects.Endpoint):
+            self.endpoints[each.name] = each
+        elif isinstance(each, objects.Work):
+            self.works[each.name] = each
+        elif isinstance(each, objects.Group):
+            self.groups[each.name] = each
+        elif isinstance(each, objects.Policy):
+            self.policy = each
+
+    def authenticate(self, key: str) -> objects.Account | None:
+        """Returns the account of a bearer key, or None."""
+        found = self._keys.get(key.partition(".")[0])
+        if found is None:
+            return None
+        declared, account = found
+        return account if keys.verify(key, declared) else None
+
+    def models(self) -> list[str]:
+        """Returns the names of all models that endpoints serve, sorted."""
+        return sorted(
+            {
+                endpoint.labels["model"]
+                for endpoint in self.endpoints.values()
+                if "model" in endpoint.labels
+            }
+        )
+
+    def is_leaving(self, endpoint: str) -> bool:
+        """Tells whether an operator's label drains an endpoint."""
+        declared = self.endpoints.get(endpoint)
+        if declared is None:
+            return True
+        return declared.labels.get(objects.LEAVING_LABEL) == "true"
+
+
+class ViewCache:
+    """Keeps the view of a fold until its state changes."""
+
+    __slots__ = ("_fold", "_generation", "_view")
+
+    def __init__(self, followed: fold.Fold) -> None:
+        self._fold = followed
+        self._generation = -1
+        self._view = View([])
+
+    def get(self) -> View:
+        """Returns the view of the state as it is now."""
+        state = self._fold.state
+        if state.generation != self._generation:
+            self._view = View(held.declared for held in state.objects.values())
+            self._generation = state.generation
+        return self._view
--- /dev/null
+++ b/libs/godwitdale/src/godwitdale/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line as ``python -m godwitdale``."""
+
+from godwitdale import cli
+
+if __name__ == "__main__":
+    cli.main()
--- /dev/null
+++ b/libs/godwitdale/src/godwitdale/cli.py
@@ -0,0 +1,343 @@
+"""The command line."""
+
+from collections.abc import Callable
+from collections.abc import Coroutine
+import getpass
+import pathlib
+import signal
+import sys
+from typing import Annotated, Any
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import reactor as default_reactor
+import typer
+
+from godwitdale import agent as agent_lib
+from godwitdale import bench
+from godwitdale import demo as demo_lib
+from godwitdale import entry as entry_lib
+from godwitdale import publishing
+from godwitdale import settings as settings_lib
+from godwitdale import tables
+from godwitdale_declarations import files
+from godwitdale_declarations import keys
+from godwitdale_declarations import selectors
+from godwitdale_declarations import view as view_lib
+from godwitdale_observe import logs
+from godwitdale_platform import instances as instances_lib
+from godwitdale_platform import log as log_lib
+from godwitdale_standins import launch
+from godwitdale_verdicts import exceptions
+
+_PLATFORM_TIMEOUT_S = 5.0
+_MINUTES_PER_HOUR = 60
+
+app = typer.Typer(
+    help=(
+        "A load balancer for groups of model servers that run experts in "
+        "parallel.\n\nExit codes: 0 done, 1 other error, 2 wrong file or "
+        "usage, 3 platform unavailable, 4 rejected by the fold, 5 not yet in "
+        "force, 6 a promise was broken."
+    ),
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+app.add_typer(bench.app, name="bench")
+
+SettingsFile = Annotated[
+    pathlib.Path, typer.Argument(help="Settings of the daemon, JSON.")
+]
+PrintSettings = Annotated[
+    bool,
+    typer.Option("--print-settings", help="Show what is in force and exit."),
+]
+LogUrl = Annotated[str, typer.Option(help="Base URL of the platform's log.")]
+InstancesUrl = Annotated[
+    str, typer.Option(help="Base URL of the platform's instance list.")
+]
+Examples = Annotated[
+    pathlib.Path, typer.Option(help="Folder of the example declarations.")
+]
+Json = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+
+
+def _say(line: str) -> None:
+    typer.echo(line)
+    sys.stdout.flush()
+
+
+def run_async(work: Callable[[Any], Coroutine[Any, Any, None]]) -> None:
+    """Runs a coroutine on the reactor and raises what it raises.
+
+    Args:
+        work: Takes the reactor.
+    """
+    reactor: Any = default_reactor
+    failed: list[BaseException] = []
+
+    def start() -> None:
+        running = defer.ensureDeferred(work(reactor))
+        running.addErrback(lambda reason: failed.append(reason.value))
+        running.addBoth(lambda _: reactor.running and reactor.stop())
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    if failed:
+        raise failed[0]
+
+
+def _run_daemon(daemon: Any) -> None:
+    reactor: Any = default_reactor
+
+    def stop(*_: Any) -> None:
+        reactor.callFromThread(daemon.life.stop)
+
+    def start() -> None:
+        signal.signal(signal.SIGTERM, stop)
+        signal.signal(signal.SIGINT, stop)
+        daemon.start()
+        logs.EventLog().info(
+            "listening", port=daemon.port, admin_port=daemon.admin_port
+        )
+
+    reactor.callWhenRunning(start)
+    reactor.run(installSignalHandlers=True)
+
+
+@app.command()
+def entry(
+    settings: SettingsFile, print_settings: PrintSettings = False
+) -> None:
+    """Run an entry: callers connect here."""
+    own = settings_lib.load(settings, settings_lib.Entry)
+    if print_settings:
+        _say(settings_lib.show(own))
+        return
+    logs.configure(own.name, own.log_level)
+    _run_daemon(entry_lib.EntryDaemon(own, default_reactor))
+
+
+@app.command()
+def agent(
+    settings: SettingsFile, print_settings: PrintSettings = False
+) -> None:
+    """Run an agent: it stands beside one endpoint."""
+    own = settings_lib.load(settings, settings_lib.Agent)
+    if print_settings:
+        _say(settings_lib.show(own))
+        return
+    logs.configure(own.name, own.log_level)
+    _run_daemon(agent_lib.AgentDaemon(own, default_reactor))
+
+
+@app.command()
+def check(
+    declarations: Annotated[pathlib.Path, typer.Argument(help="JSON file.")],
+) -> None:
+    """Check a declaration file without publishing it."""
+    loaded = files.load(str(declarations), _read(declarations))
+    _say(f"{declarations}: {len(loaded)} objects, no faults")
+
+
+@app.command()
+def publish(
+    declarations: Annotated[pathlib.Path, typer.Argument(help="JSON file.")],
+    log_url: LogUrl,
+    instances_url: InstancesUrl,
+    wait_s: Annotated[
+        float, typer.Option(help="Wait so long until it is in force; 0 not.")
+    ] = 13.0,
+    prune: Annotated[
+        bool, typer.Option(help="Remove objects that the file lacks.")
+    ] = False,
+    author: Annotated[
+        str, typer.Option(help="Who publishes; the login name by default.")
+    ] = "",
+) -> None:
+    """Publish a declaration file and wait until it is in force everywhere."""
+    loaded = files.load(str(declarations), _read(declarations))
+
+    async def work(reactor: Any) -> None:
+        log = log_lib.HttpLog(log_url, reactor, _PLATFORM_TIMEOUT_S)
+        publisher = publishing.Publisher(log, reactor, _PLATFORM_TIMEOUT_S)
+        name = author or getpass.getuser()
+        published = await publisher.publish(loaded, name, prune)
+        for each in published.accepted:
+            _say(f"accepted {each.key} version {each.version}")
+        if wait_s > 0:
+            source = instances_lib.HttpInstanceList(
+                instances_url, _PLATFORM_TIMEOUT_S
+            )
+            await publishing.wait_in_force(
+                source, published.next_offset, wait_s, reactor
+            )
+            _say(f"in force everywhere at offset {published.next_offset}")
+
+    run_async(work)
+
+
+@app.command()
+def explain(
+    declarations: Annotated[pathlib.Path, typer.Argument(help="JSON file.")],
+    account: Annotated[str, typer.Option(help="Name of the client account.")],
+    path: Annotated[str, typer.Option(help="Path of the request.")],
+    method: Annotated[str, typer.Option(help="HTTP method.")] = "POST",
+    model: Annotated[str | None, typer.Option(help="Model it names.")] = None,
+    header: Annotated[
+        list[str] | None, typer.Option(help="NAME=VALUE, repeatable.")
+    ] = None,
+    at: Annotated[str, typer.Option(help="Time of day, UTC.")] = "12:00",
+) -> None:
+    """Show which selector binds a request, which lost, and why."""
+    loaded = files.load(str(declarations), _read(declarations))
+    view = view_lib.View(loaded)
+    declared = view.accounts.get(account)
+    if declared is None:
+        known = ", ".join(sorted(view.accounts))
+        raise exceptions.GodwitdaleError(
+            f"account {account!r} is not declared; there are {known}"
+        )
+    request = selectors.Request(
+        account=account,
+        account_labels=declared.labels,
+        method=method,
+        path=path,
+        model=model,
+        headers=_headers(header or []),
+        minute_of_day=_minute(at),
+    )
+    for candidate in selectors.explain(view.selectors, request):
+        _say(_explained(candidate, view))
+
+
+def _explained(candidate: selectors.Candidate, view: view_lib.View) -> str:
+    selector = candidate.selector
+    if not candidate.bound:
+        return f"  lost   {selector.name}: {candidate.why}"
+    work = view.works[selector.work]
+    names = [
+        each.name
+        for each in view.endpoints.values()
+        if selectors.endpoint_matches(selector, each.labels)
+    ]
+    return (
+        f"  BOUND  {selector.name}: {candidate.why}\n"
+        f"         work {work.name}: class {work.service_class}, priority "
+        f"{work.priority}, deadline {work.deadline_s:g} s, "
+        f"{'repeatable' if work.repeatable else 'not repeatable'}, "
+        f"keys {work.keys}\n"
+        f"         endpoints {', '.join(names) or 'none'}"
+    )
+
+
+def _headers(pairs: list[str]) -> dict[str, str]:
+    found = {}
+    for pair in pairs:
+        name, separator, value = pair.partition("=")
+        if not separator:
+            raise typer.BadParameter(f"{pair!r} is not NAME=VALUE")
+        found[name.lower()] = value
+    return found
+
+
+def _minute(text: str) -> int:
+    try:
+        hours, minutes = text.split(":")
+        return int(hours) * _MINUTES_PER_HOUR + int(minutes)
+    except ValueError as error:
+        raise typer.BadParameter(f"{text!r} is not HH:MM") from error
+
+
+@app.command()
+def status(instances_url: InstancesUrl, as_json: Json = False) -> None:
+    """Show every instance, what is in force there, and its histograms."""
+
+    async def work(reactor: Any) -> None:
+        source = instances_lib.HttpInstanceList(
+            instances_url, _PLATFORM_TIMEOUT_S
+        )
+        statuses = await publishing.fetch_statuses(source)
+        if as_json:
+            rows = [
+                {"instance": each.instance, "status": each.status}
+                for each in statuses
+            ]
+            _say(msgspec.json.encode(rows).decode())
+            return
+        _say(tables.instances(statuses))
+        _say(tables.histograms(statuses))
+
+    run_async(work)
+
+
+@app.command("key")
+def make_key(
+    key_id: Annotated[str, typer.Argument(help="Public part of the key.")],
+) -> None:
+    """Make a bearer key and the declaration that goes with it."""
+    key, declared = keys.generate(key_id)
+    _say(f"key (shown once)  {key}")
+    _say(f"declaration       {msgspec.json.encode(declared).decode()}")
+
+
+@app.command()
+def demo(
+    serve: Annotated[
+        bool, typer.Option("--serve", help="Keep serving until Ctrl-C.")
+    ] = False,
+    port: Annotated[int, typer.Option(help="Port of the first entry.")] = 8080,
+    examples: Examples = pathlib.Path("examples"),
+) -> None:
+    """Run the main job on both example declarations, or serve one."""
+    logs.configure("demo", "ERROR")
+
+    async def work(reactor: Any) -> None:
+        if serve:
+            await demo_lib.serve(reactor, examples, port, _say)
+        else:
+            await demo_lib.run(reactor, examples, _say)
+
+    run_async(work)
+
+
+@app.command()
+def standin(
+    name: Annotated[
+        str, typer.Argument(help="One of " + ", ".join(launch.NAMES))
+    ],
+    host: Annotated[str, typer.Option(help="IP number.")] = "127.0.0.1",
+    port: Annotated[int, typer.Option(help="Port, 0 for any.")] = 0,
+    label: Annotated[
+        str, typer.Option(help="Model of an engine, name of an app.")
+    ] = "model",
+) -> None:
+    """Run one stand-in of the platform or of an endpoint; development only."""
+    if name not in launch.NAMES:
+        raise typer.BadParameter(f"{name!r} is none of {launch.NAMES}")
+    reactor: Any = default_reactor
+
+    def start() -> None:
+        service = launch.make(name, label)
+        listening = launch.listen(reactor, service, host, port)
+        _say(f"listening on http://{host}:{listening.getHost().port}")
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+
+
+def _read(file: pathlib.Path) -> bytes:
+    try:
+        return file.read_bytes()
+    except OSError as error:
+        fault = exceptions.Fault("$", str(error.strerror), "a readable file")
+        raise exceptions.InvalidFileError(str(file), [fault]) from error
+
+
+def main() -> None:
+    """Runs the command line and turns errors into messages and exit codes."""
+    try:
+        app()
+    except exceptions.GodwitdaleError as error:
+        typer.echo(error.show(), err=True)
+        sys.exit(error.exit_code)
--- /dev/null
+++ b/libs/godwitdale/src/godwitdale/execution.py
@@ -0,0 +1,575 @@
+"""The agent's handling of requests: queue, claims, the call, the answer."""
+
+import collections
+import dataclasses
+from typing import Any
+
+from twisted.internet import defer
+
+from godwitdale import claiming
+from godwitdale import feed as feed_lib
+from godwitdale_claims import claimant as claimant_lib
+from godwitdale_claims import records as claim_records
+from godwitdale_link import messages
+from godwitdale_link import server as link_server
+from godwitdale_observe import histograms
+from godwitdale_observe import logs
+from godwitdale_observe import metrics as metrics_lib
+from godwitdale_platform import backend as backend_lib
+from godwitdale_routing import admission
+from godwitdale_routing import limits
+from godwitdale_routing import queueing
+from godwitdale_verdicts import identifiers
+from godwitdale_verdicts import outcomes
+import xxhash
+
+_RATE_TIME_CONSTANT_S = 5.0
+_MOST_RATES = 2048
+_MOST_REPORTED_ACCOUNTS = 16
+_OUTCOME_PATIENCE_S = 3.0
+_CLAIM_PATIENCE_SHARE = 0.5
+_EVENT_END = b"\n\n"
+_EVENT_STREAM = "text/event-stream"
+_REPLAYED_HEADER = ("Idempotency-Replayed", "true")
+
+
+class Work:
+    """One request at the agent.
+
+    Attributes:
+        submit: The request.
+        sink: Takes its answer.
+        arrived_s: When it came.
+        attempt: Its name in the claim stream, or None without a key.
+        call: The call to the endpoint, once it has started.
+        revoked: Whether it must not start any more.
+    """
+
+    __slots__ = ("submit", "sink", "arrived_s", "attempt", "call", "revoked")
+
+    def __init__(
+        self,
+        submit: messages.Submit,
+        sink: link_server.AnswerSink,
+        arrived_s: float,
+    ) -> None:
+        self.submit = submit
+        self.sink = sink
+        self.arrived_s = arrived_s
+        self.attempt: str | None = None
+        self.call: defer.Deferred[None] | None = None
+        self.revoked = False
+
+
+class AnswerTaker:
+    """Passes an answer on to the link; cuts event streams between events."""
+
+    def __init__(self, work: Work, queued_s: float) -> None:
+        """Prepares to receive.
+
+        Args:
+            work: The request.
+            queued_s: Time that it waited.
+        """
+        self.status = 0
+        self.content_type = ""
+        self.kept = bytearray()
+        self._work = work
+        self._queued_s = queued_s
+        self._is_stream = False
+        self._rest = b""
+
+    def head(self, status: int, headers: messages.Headers) -> None:
+        """Takes status and headers."""
+        self.status = status
+        for name, value in headers:
+            if name.lower() == "content-type":
+                self.content_type = value
+        self._is_stream = self.content_type.startswith(_EVENT_STREAM)
+        self._work.sink.head(status, headers, self._queued_s)
+
+    def data(self, data: bytes) -> None:
+        """Takes a part of the body."""
+        if self._work.attempt is not None:
+            self.kept += data
+        if not self._is_stream:
+            self._work.sink.data(data)
+            return
+        whole, separator, rest = (self._rest + data).rpartition(_EVENT_END)
+        self._rest = rest
+        if separator:
+            self._work.sink.data(whole + separator)
+
+    def finish(self) -> None:
+        """Passes on what stands after the last event, if anything does."""
+        if self._rest:
+            self._work.sink.data(self._rest)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What an agent's request handling is made of.
+
+    Attributes:
+        reactor: The Twisted reactor.
+        feed: The declarations.
+        claims: The claims on keys.
+        backend: The endpoint.
+        histograms: Times by class and account.
+        metrics: Counters.
+        events: The log of this process.
+    """
+
+    reactor: Any
+    feed: feed_lib.DeclarationFeed
+    claims: claiming.ClaimKeeper
+    backend: backend_lib.Backend
+    histograms: histograms.Histograms
+    metrics: metrics_lib.Metrics
+    events: logs.EventLog
+
+
+class Executor:
+    """Decides what runs at the endpoint, and when.
+
+    Attributes:
+        is_leaving: Whether new work is refused.
+        step_s: Time of one step of the engine's group.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        incarnation: str,
+        slots: int,
+        service_s: float,
+        catch_up_s: float,
+    ) -> None:
+        """Starts idle.
+
+        Args:
+            parts: What it is made of.
+            incarnation: The agent's incarnation.
+            slots: Requests that the endpoint takes at once.
+            service_s: First guess of the time that one occupies a slot.
+            catch_up_s: How long an entry may lack a known declaration.
+        """
+        self.is_leaving = False
+        self.step_s = 0.0
+        self._parts = parts
+        self._incarnation = incarnation
+        self._most_running = slots
+        self._catch_up_s = catch_up_s
+        self._service = admission.ServiceTime(service_s)
+        self._queue: queueing.FairQueue[Work] = queueing.FairQueue()
+        self._work: dict[identifiers.RequestId, Work] = {}
+        self._running = 0
+        self._rates: collections.OrderedDict[str, limits.DecayingCount] = (
+            collections.OrderedDict()
+        )
+        self._server: link_server.LinkServer | None = None
+
+    def attach(self, server: link_server.LinkServer) -> None:
+        """Connects to the link's server, which owns the answers."""
+        self._server = server
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have not ended."""
+        return len(self._work)
+
+    def leave(self) -> None:
+        """Refuses new work from now on and tells the entries at once."""
+        if not self.is_leaving:
+            self.is_leaving = True
+            if self._server is not None:
+                self._server.announce()
+
+    def stay(self) -> None:
+        """Takes new work again, where a leave notice was withdrawn."""
+        if self.is_leaving:
+            self.is_leaving = False
+            if self._server is not None:
+                self._server.announce()
+
+    def cut(self) -> None:
+        """Ends everything in flight with truthful verdicts."""
+        for work in list(self._work.values()):
+            if work.call is not None:
+                work.call.cancel()
+            else:
+                self._withdraw(work)
+                self._refuse(
+                    work,
+                    outcomes.not_run(
+                        outcomes.Reason.DRAINING, "the agent stops"
+                    ),
+                )
+
+    def expire(self) -> None:
+        """Refuses what has waited beyond its deadline."""
+        for work in self._queue.expired(self._parts.reactor.seconds()):
+            self._release(work)
+            self._refuse(
+                work,
+                outcomes.not_run(
+                    outcomes.Reason.DEADLINE, "no slot was free in time"
+                ),
+            )
+
+    def load(self) -> messages.Load:
+        """Returns the load of the endpoint."""
+        return messages.Load(
+            running=self._running,
+            queued=len(self._queue),
+            slots=self._most_running,
+            service_s=self._service.mean_s,
+            step_s=self.step_s,
+            prefill_tokens_per_s=10_000.0,
+            leaving=self.is_leaving,
+        )
+
+    def heavy_accounts(self) -> list[tuple[str, float]]:
+        """Returns requests a second of the heaviest accounts."""
+        now_s = self._parts.reactor.seconds()
+        rates = [
+            (name, round(count.rate_per_s(now_s), 3))
+            for name, count in self._rates.items()
+        ]
+        rates.sort(key=lambda pair: -pair[1])
+        return rates[:_MOST_REPORTED_ACCOUNTS]
+
+    def position(self) -> messages.Position:
+        """Returns how far the declarations are folded."""
+        return self._parts.feed.position()
+
+    def entry_seen(self, incarnation: str, position: messages.Position) -> None:
+        """Fetches declarations from an entry that knows more."""
+        if self._parts.feed.peer_seen(position) and self._server is not None:
+            next_offset = self._parts.feed.position().next_offset
+            self._server.fetch_declarations(incarnation, next_offset)
+
+    def declarations_from(self, next_offset: int) -> messages.Declarations:
+        """Returns what an entry lacks."""
+        return self._parts.feed.declarations_from(next_offset)
+
+    def declarations_received(self, message: messages.Declarations) -> None:
+        """Takes what an entry knows."""
+        self._parts.feed.declarations_received(message)
+
+    def submitted(
+        self, submit: messages.Submit, sink: link_server.AnswerSink
+    ) -> None:
+        """Takes a request that has never been seen before."""
+        work = Work(submit, sink, self._parts.reactor.seconds())
+        self._work[submit.id] = work
+        self._count(submit)
+        refusal = self._objection(submit)
+        if refusal is not None:
+            self._refuse(work, refusal)
+        elif submit.key is None:
+            self._enqueue(work)
+        else:
+            defer.ensureDeferred(self._claim(work, submit.key))
+
+    def revoke(self, request_id: identifiers.RequestId) -> bool:
+        """Keeps a request from starting; returns whether it has started."""
+        work = self._work.get(request_id)
+        if work is None or work.call is not None:
+            return True
+        self._withdraw(work)
+        del self._work[request_id]
+        return False
+
+    def cancel(self, request_id: identifiers.RequestId) -> None:
+        """Ends a request that nobody waits for any more.
+
+        Work that may not be repeated runs on once it has started, because its
+        outcome has to be known.
+        """
+        work = self._work.get(request_id)
+        if work is None:
+            return
+        if work.call is None:
+            self._withdraw(work)
+            self._refuse(
+                work,
+                outcomes.not_run(outcomes.Reason.CANCELLED, "cancelled"),
+            )
+        elif work.submit.repeatable:
+            work.call.cancel()
+
+    def pump(self) -> None:
+        """Starts what the endpoint has room for."""
+        while self._running < self._most_running:
+            work = self._queue.pop()
+            if work is None:
+                return
+            self._start(work)
+
+    def _objection(self, submit: messages.Submit) -> outcomes.Refusal | None:
+        if self.is_leaving:
+            return outcomes.not_run(
+                outcomes.Reason.DRAINING, "the endpoint is leaving"
+            )
+        feed = self._parts.feed
+        too_old = submit.position.age_s > feed.view.policy.stale_limit_s
+        behind = feed.is_too_far_behind(submit.position, self._catch_up_s)
+        if too_old or behind:
+            return outcomes.not_run(
+                outcomes.Reason.STALE, "the entry's declarations are too old"
+            )
+        return admission.admit(
+            self._queue,
+            self._ticket(submit, self._parts.reactor.seconds()),
+            admission.Slots(self._running, self._most_running),
+            self._service.mean_s,
+            self._parts.reactor.seconds(),
+        )
+
+    def _ticket(
+        self, submit: messages.Submit, arrived_s: float
+    ) -> queueing.Ticket:
+        return queueing.Ticket(
+            account=submit.account,
+            weight=submit.weight,
+            priority=submit.priority,
+            deadline_at_s=arrived_s + submit.deadline_s,
+        )
+
+    def _enqueue(self, work: Work) -> None:
+        self._queue.push(self._ticket(work.submit, work.arrived_s), work)
+        self.pump()
+
+    async def _claim(self, work: Work, key: str) -> None:
+        submit = work.submit
+        work.attempt = f"{submit.id}/{self._incarnation}"
+        claim = claim_records.Claim(key, work.attempt, _digest_of(submit))
+        patience_s = submit.deadline_s * _CLAIM_PATIENCE_SHARE
+        try:
+            decision = await self._parts.claims.claim(claim, patience_s)
+        except claiming.LogDown:
+            if not work.revoked:
+                self._refuse(
+                    work,
+                    outcomes.not_run(
+                        outcomes.Reason.LOG_UNAVAILABLE,
+                        "the log takes no claims at the moment",
+                        retry_after_s=1.0,
+                    ),
+                )
+            return
+        await self._decided(work, key, decision)
+
+    async def _decided(
+        self, work: Work, key: str, decision: claimant_lib.Decision
+    ) -> None:
+        if isinstance(decision, claimant_lib.Won):
+            if work.revoked:
+                self._release(work)
+            else:
+                self._enqueue(work)
+            return
+        if work.revoked:
+            return
+        if isinstance(decision, claimant_lib.Known):
+            self._replay(work, decision.outcome)
+        elif isinstance(decision, claimant_lib.InUse):
+            await self._wait_for_other(work, key)
+        elif isinstance(decision, claimant_lib.Mismatch):
+            self._refuse(
+                work,
+                outcomes.not_run(
+                    outcomes.Reason.KEY_REUSED,
+                    "the key belongs to another request",
+                ),
+            )
+        else:
+            self._refuse(
+                work,
+                outcomes.not_run(outcomes.Reason.REVOKED, "voided in time"),
+            )
+
+    async def _wait_for_other(self, work: Work, key: str) -> None:
+        patience_s = min(_OUTCOME_PATIENCE_S, work.submit.deadline_s / 2)
+        outcome = await self._parts.claims.wait_for_outcome(key, patience_s)
+        if work.revoked:
+            return
+        if outcome is not None:
+            self._replay(work, outcome)
+            return
+        self._refuse(
+            work,
+            outcomes.may_have_run(
+                outcomes.Reason.KEY_IN_USE,
+                "an earlier request with this key has no known outcome",
+            ),
+        )
+
+    def _replay(self, work: Work, outcome: claim_records.Outcome) -> None:
+        if outcome.status == 0:
+            self._refuse(
+                work,
+                outcomes.may_have_run(
+                    outcomes.Reason.ANSWER_LOST,
+                    "the request was handed to the endpoint once and its "
+                    "answer was lost",
+                ),
+            )
+        elif outcome.body is None:
+            self._refuse(
+                work,
+                outcomes.ran(
+                    outcomes.Reason.ANSWER_LOST,
+                    f"the request ran and was answered {outcome.status}; the "
+                    "answer was too large to keep",
+                ),
+            )
+        else:
+            headers = [("Content-Type", outcome.content_type), _REPLAYED_HEADER]
+            work.sink.head(outcome.status, headers, 0.0)
+            work.sink.data(outcome.body)
+            self._end(work)
+
+    def _start(self, work: Work) -> None:
+        self._running += 1
+        work.call = defer.Deferred.fromCoroutine(self._run(work))
+        work.call.addErrback(self._crashed, work)
+
+    async def _run(self, work: Work) -> None:
+        reactor = self._parts.reactor
+        started_s = reactor.seconds()
+        queued_s = started_s - work.arrived_s
+        taker = AnswerTaker(work, queued_s)
+        try:
+            outcome = await self._parts.backend.call(
+                self._call_of(work, started_s), taker
+            )
+        except defer.CancelledError:
+            outcome = backend_lib.Lost("cancelled")
+        finally:
+            self._running -= 1
+            self._service.observe(reactor.seconds() - started_s)
+        self._record(work, queued_s, reactor.seconds() - started_s)
+        self._conclude(work, taker, outcome)
+        self.pump()
+
+    def _call_of(self, work: Work, started_s: float) -> backend_lib.Call:
+        submit = work.submit
+        left_s = work.arrived_s + submit.timeout_s - started_s
+        headers = [
+            *submit.headers,
+            ("Godwitdale-Request-Id", str(submit.id)),
+            ("Priority", f"u={submit.priority}"),
+        ]
+        return backend_lib.Call(
+            method=submit.method,
+            path=submit.path,
+            headers=headers,
+            body=submit.body,
+            repeatable=submit.repeatable,
+            timeout_s=max(0.01, left_s),
+        )
+
+    def _conclude(
+        self,
+        work: Work,
+        taker: AnswerTaker,
+        outcome: backend_lib.CallOutcome,
+    ) -> None:
+        key = work.submit.key
+        if isinstance(outcome, backend_lib.Whole):
+            if key is not None and work.attempt is not None:
+                self._parts.claims.finish(
+                    key,
+                    work.attempt,
+                    taker.status,
+                    taker.content_type,
+                    bytes(taker.kept),
+                )
+            taker.finish()
+            self._end(work)
+        elif isinstance(outcome, backend_lib.Unreached):
+            self._release(work)
+            self._refuse(
+                work,
+                outcomes.not_run(
+                    outcomes.Reason.ENDPOINT_FAILED,
+                    f"the endpoint cannot be reached: {outcome.detail}",
+                    retry_after_s=1.0,
+                ),
+            )
+        else:
+            if key is not None and work.attempt is not None:
+                self._parts.claims.finish(key, work.attempt, 0, "", b"")
+            self._refuse(
+                work,
+                outcomes.may_have_run(
+                    outcomes.Reason.ENDPOINT_FAILED,
+                    f"the endpoint's answer was lost: {outcome.detail}",
+                ),
+            )
+
+    def _crashed(self, reason: Any, work: Work) -> None:
+        self._parts.events.warning(
+            "request crashed",
+            request_id=str(work.submit.id),
+            error=reason.getTraceback(),
+        )
+        if work.submit.id in self._work:
+            self._refuse(
+                work,
+                outcomes.may_have_run(
+                    outcomes.Reason.ENDPOINT_FAILED, "the agent failed"
+                ),
+            )
+
+    def _withdraw(self, work: Work) -> None:
+        """Makes sure that a request that has not started never will."""
+        work.revoked = True
+        if self._queue.remove(work):
+            self._release(work)
+
+    def _release(self, work: Work) -> None:
+        key = work.submit.key
+        if key is not None and work.attempt is not None:
+            self._parts.claims.release(key, work.attempt)
+
+    def _refuse(self, work: Work, refusal: outcomes.Refusal) -> None:
+        self._work.pop(work.submit.id, None)
+        self._parts.metrics.incr(f"refused.{refusal.reason.value}")
+        work.sink.refuse(refusal)
+
+    def _end(self, work: Work) -> None:
+        self._work.pop(work.submit.id, None)
+        self._parts.metrics.incr("answered")
+        work.sink.end()
+
+    def _count(self, submit: messages.Submit) -> None:
+        now_s = self._parts.reactor.seconds()
+        count = self._rates.get(submit.account)
+        if count is None:
+            count = limits.DecayingCount(_RATE_TIME_CONSTANT_S, now_s)
+            self._rates[submit.account] = count
+        count.add(submit.offered, now_s)
+        self._rates.move_to_end(submit.account)
+        if len(self._rates) > _MOST_RATES:
+            self._rates.popitem(last=False)
+
+    def _record(self, work: Work, queued_s: float, took_s: float) -> None:
+        submit = work.submit
+        for metric, value_s in (
+            (histograms.Metric.QUEUE, queued_s),
+            (histograms.Metric.WHOLE, took_s),
+        ):
+            self._parts.histograms.record(
+                metric, submit.service_class, submit.account, value_s
+            )
+
+
+def _digest_of(submit: messages.Submit) -> str:
+    """Returns a digest that tells whether a key is used for another request."""
+    hasher = xxhash.xxh3_128()
+    hasher.update(f"{submit.method}\n{submit.path}\n".encode())
+    hasher.update(submit.body)
+    return hasher.hexdigest()
--- /dev/null
+++ b/libs/godwitdale/src/godwitdale/local.py
@@ -0,0 +1,261 @@
+"""A whole system in one process, for the demo.
+
+The stand-ins take the platform's place; the daemons are the real ones.
+"""
+
+import dataclasses
+import pathlib
+from typing import Any
+
+from twisted.internet import task
+
+from godwitdale import agent as agent_lib
+from godwitdale import entry as entry_lib
+from godwitdale import publishing
+from godwitdale import settings as settings_lib
+from godwitdale_declarations import files
+from godwitdale_declarations import keys
+from godwitdale_declarations import objects
+from godwitdale_platform import instances as instances_lib
+from godwitdale_platform import log as log_lib
+from godwitdale_standins import engine
+from godwitdale_standins import instance_list
+from godwitdale_standins import launch
+from godwitdale_standins import log_service
+from godwitdale_standins import plain_app
+from godwitdale_verdicts import exceptions
+
+HOST = "127.0.0.1"
+_ENTRIES = 2
+_READY_S = 10.0
+_POLL_S = 0.05
+_FAST_POLL_S = 0.2
+_SERVICE_SLOTS = 16
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """A daemon of the local system and how the platform lists it.
+
+    Attributes:
+        daemon: The daemon.
+        listed: Its row in the instance list.
+    """
+
+    daemon: entry_lib.EntryDaemon | agent_lib.AgentDaemon
+    listed: dict[str, Any]
+
+
+class LocalSystem:
+    """Stand-ins, two entries and one agent for each declared endpoint.
+
+    Attributes:
+        declared: The objects that were published.
+        account_keys: A bearer key for each client account.
+        engines: Engine stand-ins by endpoint.
+        apps: App stand-ins by endpoint.
+        entries: Entries by name.
+        agents: Agents by endpoint.
+    """
+
+    def __init__(
+        self, reactor: Any, declarations: pathlib.Path, first_port: int = 0
+    ) -> None:
+        """Reads the declarations; nothing is started yet.
+
+        Args:
+            reactor: The Twisted reactor.
+            declarations: The declaration file.
+            first_port: Port of the first entry, or 0 for any free one.
+
+        Raises:
+            exceptions.InvalidFileError: The file cannot be used.
+        """
+        data = declarations.read_bytes()
+        self.declared = files.load(str(declarations), data)
+        self.account_keys: dict[str, str] = {}
+        self.engines: dict[str, engine.Engine] = {}
+        self.apps: dict[str, plain_app.PlainApp] = {}
+        self.entries: dict[str, Member] = {}
+        self.agents: dict[str, Member] = {}
+        self.log_service = log_service.LogService(reactor=reactor)
+        self.instance_list = instance_list.InstanceList(reactor)
+        self._reactor = reactor
+        self._first_port = first_port
+        self._ports: list[Any] = []
+        self._platform: settings_lib.Platform | None = None
+
+    async def start(self) -> None:
+        """Starts everything, publishes and waits until it is in force."""
+        log_url = self._serve(self.log_service)
+        instances_url = self._serve(self.instance_list)
+        self._platform = settings_lib.Platform(
+            log_url, instances_url, poll_s=_FAST_POLL_S
+        )
+        self._add_keys()
+        published = await self.publish(self.declared)
+        for each in self.declared:
+            if isinstance(each, objects.Endpoint):
+                self._start_endpoint(each)
+        for number in range(_ENTRIES):
+            port = self._first_port if number == 0 else 0
+            self._start_entry(f"entry-{number + 1}", port)
+        await self.wait_in_force(published.next_offset)
+        await self._wait_ready()
+
+    async def publish(
+        self, wanted: list[objects.Object]
+    ) -> publishing.Published:
+        """Publishes objects without removing others."""
+        publisher = publishing.Publisher(self._log(), self._reactor, _READY_S)
+        return await publisher.publish(wanted, author="demo", prune=False)
+
+    async def wait_in_force(self, next_offset: int) -> None:
+        """Waits until all daemons have folded up to an offset."""
+        await publishing.wait_in_force(
+            self._source(), next_offset, _READY_S, self._reactor
+        )
+
+    def entry_urls(self) -> list[str]:
+        """Returns the base URLs of the entries."""
+        return [
+            f"http://{HOST}:{member.daemon.port}"
+            for member in self.entries.values()
+        ]
+
+    def listed_as(self, member: Member, state: str) -> None:
+        """Changes what the platform says of a daemon."""
+        member.listed["state"] = state
+        self._list(member)
+
+    def stop(self) -> None:
+        """Closes everything."""
+        for member in [*self.entries.values(), *self.agents.values()]:
+            member.daemon.close()
+        for port in self._ports:
+            port.stopListening()
+
+    def _log(self) -> log_lib.HttpLog:
+        assert self._platform is not None
+        return log_lib.HttpLog(self._platform.log_url, self._reactor, _READY_S)
+
+    def _source(self) -> instances_lib.HttpInstanceList:
+        assert self._platform is not None
+        return instances_lib.HttpInstanceList(
+            self._platform.instances_url, _READY_S
+        )
+
+    def _serve(self, service: Any) -> str:
+        port = launch.listen(self._reactor, service, HOST, 0)
+        self._ports.append(port)
+        return f"http://{HOST}:{port.getHost().port}"
+
+    def _add_keys(self) -> None:
+        for number, each in enumerate(self.declared):
+            if isinstance(each, objects.Account):
+                key, declared = keys.generate(each.name)
+                self.account_keys[each.name] = key
+                self.declared[number] = objects.Account(
+                    name=each.name,
+                    labels=each.labels,
+                    keys=[*each.keys, declared],
+                    weight=each.weight,
+                    requests_per_s=each.requests_per_s,
+                    burst_s=each.burst_s,
+                )
+
+    def _start_endpoint(self, endpoint: objects.Endpoint) -> None:
+        model = endpoint.labels.get("model")
+        service: Any
+        if model is None:
+            service = self.apps[endpoint.name] = plain_app.PlainApp(
+                endpoint.name, self._reactor
+            )
+            backend = settings_lib.Backend(
+                self._serve(service), "service", _SERVICE_SLOTS, 0.05
+            )
+        else:
+            shape = engine.EngineShape()
+            service = self.engines[endpoint.name] = engine.Engine(
+                model, shape, reactor=self._reactor
+            )
+            backend = settings_lib.Backend(
+                self._serve(service), "engine", shape.slots, 0.5
+            )
+        self._start_agent(endpoint, backend)
+
+    def _start_agent(
+        self, endpoint: objects.Endpoint, backend: settings_lib.Backend
+    ) -> None:
+        assert self._platform is not None
+        zone = endpoint.labels.get("zone", "zone")
+        own = settings_lib.Agent(
+            name=f"agent-of-{endpoint.name}",
+            endpoint=endpoint.name,
+            zone=zone,
+            listen=settings_lib.Address(HOST, 0),
+            admin=settings_lib.Address(HOST, 0),
+            platform=self._platform,
+            backend=backend,
+        )
+        daemon = agent_lib.AgentDaemon(own, self._reactor)
+        daemon.start()
+        member = Member(daemon, self._row(own.name, "agent", zone, daemon))
+        member.listed["endpoint"] = endpoint.name
+        self.agents[endpoint.name] = member
+        self._list(member)
+
+    def _start_entry(self, name: str, port: int) -> None:
+        assert self._platform is not None
+        zones = sorted(
+            {member.listed["zone"] for member in self.agents.values()}
+        )
+        own = settings_lib.Entry(
+            name=name,
+            zone=zones[0],
+            listen=settings_lib.Address(HOST, port),
+            admin=settings_lib.Address(HOST, 0),
+            platform=self._platform,
+        )
+        daemon = entry_lib.EntryDaemon(own, self._reactor)
+        daemon.start()
+        member = Member(daemon, self._row(name, "entry", own.zone, daemon))
+        self.entries[name] = member
+        self._list(member)
+
+    def _row(
+        self,
+        name: str,
+        role: str,
+        zone: str,
+        daemon: entry_lib.EntryDaemon | agent_lib.AgentDaemon,
+    ) -> dict[str, Any]:
+        return {
+            "name": name,
+            "role": role,
+            "host": HOST,
+            "port": daemon.port,
+            "admin_port": daemon.admin_port,
+            "zone": zone,
+            "state": "live",
+        }
+
+    def _list(self, member: Member) -> None:
+        self.instance_list.set_instance(member.listed)
+
+    async def _wait_ready(self) -> None:
+        until_s = self._reactor.seconds() + _READY_S
+        while not self._is_ready():
+            if self._reactor.seconds() > until_s:
+                raise exceptions.NotInForceError(
+                    "the daemons are not ready in time"
+                )
+            await task.deferLater(self._reactor, _POLL_S, lambda: None)
+
+    def _is_ready(self) -> bool:
+        return all(
+            member.daemon.life.state == "ready"
+            and all(link["open"] for link in member.daemon.status()["links"])
+            and len(member.daemon.status()["links"]) == len(self.agents)
+            for member in self.entries.values()
+        )
--- /dev/null
+++ b/libs/godwitdale/src/godwitdale/testing.py
@@ -0,0 +1,525 @@
+"""A small system of separate processes on loopback, for tests and benches.
+
+The stand-ins, entries and agents are started as processes of their own and
+can be killed, paused, cut off and restarted. Only test harnesses start
+processes; the system itself never does.
+"""
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+import contextlib
+import dataclasses
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from typing import Any
+import urllib.parse
+
+import msgspec
+
+from godwitdale_declarations import keys
+from godwitdale_declarations import objects
+
+HOST = "127.0.0.1"
+_START_S = 30.0
+_STOP_S = 15.0
+_POLL_S = 0.05
+_ANSWER_S = 30.0
+_LISTENING = "listening"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """An HTTP answer.
+
+    Attributes:
+        status: The HTTP status.
+        headers: Headers by lower-case name.
+        body: The body.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def verdict(self) -> str:
+        """The verdict that the system gave."""
+        return self.headers.get("godwitdale-verdict", "")
+
+    def json(self) -> Any:
+        """Returns the body as JSON."""
+        return json.loads(self.body)
+
+
+def ask(
+    url: str,
+    method: str = "GET",
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = _ANSWER_S,
+) -> Answer:
+    """Sends one HTTP request on a connection of its own.
+
+    Args:
+        url: Where to.
+        method: HTTP method.
+        body: Bytes as they are, anything else as JSON, None for no body.
+        headers: Headers to send.
+        timeout_s: Time between two bytes.
+    """
+    with _opened(url, method, body, headers, timeout_s) as response:
+        data = response.read()
+        return Answer(response.status, _headers_of(response), data)
+
+
+@contextlib.contextmanager
+def stream(
+    url: str,
+    body: Any,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = _ANSWER_S,
+) -> Iterator[http.client.HTTPResponse]:
+    """Posts a request and gives the open response, to be read line by line.
+
+    Args:
+        url: Where to.
+        body: Sent as JSON.
+        headers: Headers to send.
+        timeout_s: Time between two bytes.
+    """
+    with _opened(url, "POST", body, headers, timeout_s) as response:
+        yield response
+
+
+@contextlib.contextmanager
+def _opened(
+    url: str,
+    method: str,
+    body: Any,
+    headers: dict[str, str] | None,
+    timeout_s: float,
+) -> Iterator[http.client.HTTPResponse]:
+    parts = urllib.parse.urlsplit(url)
+    connection = http.client.HTTPConnection(
+        parts.hostname or HOST, parts.port, timeout=timeout_s
+    )
+    data = body
+    if body is not None and not isinstance(body, bytes):
+        data = msgspec.json.encode(body)
+    path = parts.path + (f"?{parts.query}" if parts.query else "")
+    try:
+        connection.request(method, path or "/", data, headers or {})
+        yield connection.getresponse()
+    finally:
+        connection.close()
+
+
+def _headers_of(response: http.client.HTTPResponse) -> dict[str, str]:
+    return {name.lower(): value for name, value in response.getheaders()}
+
+
+class Process:
+    """One process of the system.
+
+    Attributes:
+        name: Its name in the cluster.
+        port: The port that it listens on.
+        admin_port: Its admin port, 0 for a stand-in.
+    """
+
+    def __init__(
+        self, name: str, arguments: Sequence[str], folder: pathlib.Path
+    ) -> None:
+        """Starts it; ``wait_listening`` follows.
+
+        Args:
+            name: Its name in the cluster.
+            arguments: Arguments of the command line.
+            folder: Where its output goes.
+        """
+        self.name = name
+        self.port = 0
+        self.admin_port = 0
+        self._file = folder / f"{name}.log"
+        self._output = self._file.open("ab")
+        self._start_at = self._file.stat().st_size
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "godwitdale", *arguments],
+            stdin=subprocess.DEVNULL,
+            stdout=self._output,
+            stderr=self._output,
+            env=dict(os.environ, PYTHONUNBUFFERED="1"),
+        )
+
+    @property
+    def pid(self) -> int:
+        """The process identifier."""
+        return self._process.pid
+
+    @property
+    def url(self) -> str:
+        """The base URL of its port."""
+        return f"http://{HOST}:{self.port}"
+
+    def wait_listening(self) -> None:
+        """Waits until it has told its ports.
+
+        Raises:
+            RuntimeError: It ended or told nothing in time.
+        """
+        until_s = time.monotonic() + _START_S
+        while time.monotonic() < until_s:
+            if self._find_ports():
+                return
+            if self._process.poll() is not None:
+                raise RuntimeError(f"{self.name} ended: {self.output()}")
+            time.sleep(_POLL_S)
+        raise RuntimeError(f"{self.name} is silent: {self.output()}")
+
+    def output(self) -> str:
+        """Returns what it has written since it was started."""
+        data = self._file.read_bytes()[self._start_at :]
+        return data.decode("utf-8", "replace")
+
+    def signal(self, number: int) -> None:
+        """Sends a signal."""
+        self._process.send_signal(number)
+
+    def wait(self) -> int:
+        """Waits for its end and returns the exit status."""
+        return self._process.wait(timeout=_STOP_S)
+
+    def end(self) -> None:
+        """Kills it, if it still runs, and waits for its end."""
+        if self._process.poll() is None:
+            self._process.send_signal(signal.SIGCONT)
+            self._process.kill()
+        self._process.wait()
+        self._output.close()
+
+    def _find_ports(self) -> bool:
+        for line in self.output().splitlines():
+            if line.startswith(_LISTENING):
+                self.port = int(line.rsplit(":", 1)[1])
+                return True
+            if f'"{_LISTENING}"' in line:
+                event = json.loads(line)
+                self.port = event["port"]
+                self.admin_port = event["admin_port"]
+                return True
+        return False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What a cluster consists of.
+
+    Attributes:
+        declared: Objects to publish; accounts get a key each.
+        entries: Number of entries.
+        relayed: Whether a relay stands between entries and agents.
+        entry_extra: Further settings of every entry.
+        agent_extra: Further settings of every agent.
+    """
+
+    declared: Sequence[objects.Object]
+    entries: int = 2
+    relayed: bool = False
+    entry_extra: dict[str, Any] = dataclasses.field(default_factory=dict)
+    agent_extra: dict[str, Any] = dataclasses.field(default_factory=dict)
+
+
+class Cluster:
+    """A running system of separate processes. A context manager.
+
+    Attributes:
+        processes: All processes by name: ``log``, ``instances``, ``relay``,
+            ``endpoint-NAME``, ``agent-NAME``, ``entry-1`` and so on.
+        account_keys: A bearer key for each account.
+    """
+
+    def __init__(self, plan: Plan, folder: pathlib.Path) -> None:
+        """Prepares; the processes are started on entering the context.
+
+        Args:
+            plan: What to start.
+            folder: Where settings and output go.
+        """
+        self.processes: dict[str, Process] = {}
+        self.account_keys: dict[str, str] = {}
+        self._plan = plan
+        self._folder = folder
+        self._settings: dict[str, dict[str, Any]] = {}
+        self._listed: dict[str, dict[str, Any]] = {}
+
+    def __enter__(self) -> "Cluster":
+        try:
+            self._start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_: Any) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Ends all processes."""
+        for process in self.processes.values():
+            process.end()
+
+    def entry_url(self, number: int = 1) -> str:
+        """Returns the base URL of an entry, counted from 1."""
+        return self.processes[f"entry-{number}"].url
+
+    def headers(self, account: str, **more: str) -> dict[str, str]:
+        """Returns headers with an account's key; ``_`` in names means ``-``."""
+        found = {"Authorization": f"Bearer {self.account_keys[account]}"}
+        found.update(
+            {name.replace("_", "-"): value for name, value in more.items()}
+        )
+        return found
+
+    def faults(self, name: str, **faults: Any) -> None:
+        """Sets the faults of a stand-in; what is not named is normal."""
+        ask(f"{self.processes[name].url}/faults", "POST", faults)
+
+    def records(self, name: str) -> Any:
+        """Returns what a stand-in has recorded."""
+        return ask(f"{self.processes[name].url}/records").json()
+
+    def relay(self, action: str, body: Any = None) -> None:
+        """Tells the relay to ``silence``, ``cut`` or ``refuse``."""
+        ask(f"{self.processes['relay'].url}/{action}", "POST", body)
+
+    def status(self, name: str) -> Any:
+        """Returns the status of an entry or an agent."""
+        port = self.processes[name].admin_port
+        return ask(f"http://{HOST}:{port}/status", timeout_s=2).json()
+
+    def kill(self, name: str) -> None:
+        """Kills a process at once."""
+        self.processes[name].end()
+
+    def pause(self, name: str) -> None:
+        """Freezes a process."""
+        self.processes[name].signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Lets a frozen process go on."""
+        self.processes[name].signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Asks a process to stop gracefully."""
+        self.processes[name].signal(signal.SIGTERM)
+
+    def restart(self, name: str) -> None:
+        """Starts a daemon that has ended again, on the same ports."""
+        kind = "entry" if name.startswith("entry") else "agent"
+        old = self.processes[name]
+        own = self._settings[name]
+        own["listen"]["port"] = old.port
+        own["admin"]["port"] = old.admin_port
+        self._launch_daemon(kind, name)
+        self.processes[name].wait_listening()
+
+    def list_as(self, name: str, state: str) -> None:
+        """Changes what the instance list says of a daemon."""
+        self._listed[name]["state"] = state
+        self._list(name)
+
+    def unlist(self, name: str) -> None:
+        """Removes a daemon from the instance list."""
+        url = self.processes["instances"].url
+        ask(f"{url}/instances/{name}", "DELETE")
+
+    def publish(
+        self, declared: Sequence[objects.Object], wait_s: float = 13.0
+    ) -> subprocess.CompletedProcess[str]:
+        """Publishes objects with the command line and returns its result."""
+        file = self._folder / "declarations.json"
+        document = {"schema": 1, "objects": list(declared)}
+        file.write_bytes(msgspec.json.encode(document))
+        return self.command(
+            "publish",
+            str(file),
+            "--log-url",
+            self.processes["log"].url,
+            "--instances-url",
+            self.processes["instances"].url,
+            "--wait-s",
+            str(wait_s),
+        )
+
+    def command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Runs one command of the command line to its end."""
+        return subprocess.run(
+            [sys.executable, "-m", "godwitdale", *arguments],
+            capture_output=True,
+            text=True,
+            timeout=_START_S + _STOP_S,
+            check=False,
+        )
+
+    def wait_until(
+        self, condition: Any, what: str, within_s: float = _START_S
+    ) -> None:
+        """Waits until a condition holds.
+
+        Args:
+            condition: Called until it returns something true.
+            what: Named in the error.
+            within_s: How long to wait.
+
+        Raises:
+            TimeoutError: It did not hold in time.
+        """
+        until_s = time.monotonic() + within_s
+        while time.monotonic() < until_s:
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                if condition():
+                    return
+            time.sleep(_POLL_S)
+        raise TimeoutError(f"not in time: {what}")
+
+    def wait_ready(self) -> None:
+        """Waits until every entry is ready and linked to every agent."""
+        agents = [name for name in self.processes if name.startswith("agent")]
+        for number in range(1, self._plan.entries + 1):
+            name = f"entry-{number}"
+
+            def is_linked(name: str = name) -> bool:
+                status = self.status(name)
+                links = [link for link in status["links"] if link["open"]]
+                is_ready = status["state"] == "ready"
+                return is_ready and len(links) == len(agents)
+
+            self.wait_until(is_linked, f"{name} is linked")
+
+    def _start(self) -> None:
+        for name in ("log", "instances"):
+            self._launch_standin(name, name, name)
+        if self._plan.relayed:
+            self._launch_standin("relay", "relay", "relay")
+        endpoints = [
+            each
+            for each in self._plan.declared
+            if isinstance(each, objects.Endpoint)
+        ]
+        for endpoint in endpoints:
+            model = endpoint.labels.get("model")
+            self._launch_standin(
+                f"endpoint-{endpoint.name}",
+                "engine" if model else "app",
+                model or endpoint.name,
+            )
+        self._wait_all()
+        for endpoint in endpoints:
+            self._launch_agent(endpoint)
+        for number in range(1, self._plan.entries + 1):
+            self._launch_entry(f"entry-{number}")
+        self._wait_all()
+        for name in [*self._settings]:
+            self._list(name)
+        published = self.publish(self._with_keys())
+        if published.returncode != 0:
+            raise RuntimeError(f"publish failed: {published.stderr}")
+        self.wait_ready()
+
+    def _with_keys(self) -> list[objects.Object]:
+        declared: list[objects.Object] = []
+        for each in self._plan.declared:
+            if isinstance(each, objects.Account):
+                key, public = keys.generate(each.name)
+                self.account_keys[each.name] = key
+                declared.append(
+                    msgspec.structs.replace(each, keys=[*each.keys, public])
+                )
+            else:
+                declared.append(each)
+        return declared
+
+    def _wait_all(self) -> None:
+        for process in self.processes.values():
+            if process.port == 0:
+                process.wait_listening()
+
+    def _launch_standin(self, name: str, kind: str, label: str) -> None:
+        self.processes[name] = Process(
+            name, ["standin", kind, "--label", label], self._folder
+        )
+
+    def _platform(self) -> dict[str, Any]:
+        return {
+            "log_url": self.processes["log"].url,
+            "instances_url": self.processes["instances"].url,
+            "poll_s": 0.3,
+        }
+
+    def _common(self, name: str, zone: str) -> dict[str, Any]:
+        return {
+            "name": name,
+            "zone": zone,
+            "listen": {"host": HOST, "port": 0},
+            "admin": {"host": HOST, "port": 0},
+            "platform": self._platform(),
+        }
+
+    def _launch_agent(self, endpoint: objects.Endpoint) -> None:
+        name = f"agent-{endpoint.name}"
+        is_engine = "model" in endpoint.labels
+        zone = endpoint.labels.get("zone", "zone")
+        self._settings[name] = {
+            **self._common(name, zone),
+            "endpoint": endpoint.name,
+            "backend": {
+                "url": self.processes[f"endpoint-{endpoint.name}"].url,
+                "kind": "engine" if is_engine else "service",
+                "service_s": 0.5 if is_engine else 0.05,
+            },
+            **self._plan.agent_extra,
+        }
+        self._launch_daemon("agent", name)
+
+    def _launch_entry(self, name: str) -> None:
+        self._settings[name] = {
+            **self._common(name, "zone"),
+            **self._plan.entry_extra,
+        }
+        self._launch_daemon("entry", name)
+
+    def _launch_daemon(self, kind: str, name: str) -> None:
+        file = self._folder / f"{name}.json"
+        file.write_bytes(msgspec.json.encode(self._settings[name]))
+        self.processes[name] = Process(name, [kind, str(file)], self._folder)
+
+    def _list(self, name: str) -> None:
+        process = self.processes[name]
+        own = self._settings[name]
+        if name not in self._listed:
+            port = process.port
+            if self._plan.relayed and "endpoint" in own:
+                port = self._relayed_port(port)
+            self._listed[name] = {
+                "name": name,
+                "role": "agent" if "endpoint" in own else "entry",
+                "host": HOST,
+                "port": port,
+                "admin_port": process.admin_port,
+                "zone": own["zone"],
+                "state": "live",
+                "endpoint": own.get("endpoint", ""),
+            }
+        url = self.processes["instances"].url
+        ask(f"{url}/instances/{name}", "PUT", self._listed[name])
+
+    def _relayed_port(self, port: int) -> int:
+        url = self.processes["relay"].url
+        answer = ask(f"{url}/routes", "POST", {"host": HOST, "port": port})
+        return answer.json()["port"]
--- /dev/null
+++ b/libs/link/src/godwitdale_link/__init__.py
@@ -0,0 +1,9 @@
+"""The link between an entry and an agent."""
+
+from godwitdale_link import answers
+from godwitdale_link import client
+from godwitdale_link import framing
+from godwitdale_link import messages
+from godwitdale_link import server
+
+__all__ = ["answers", "client", "framing", "messages", "server"]
--- /dev/null
+++ b/libs/link/src/godwitdale_link/answers.py
@@ -0,0 +1,129 @@
+"""Answers in frames: kept by the agent, put together by the entry."""
+
+import dataclasses
+import enum
+
+import msgspec
+import xxhash
+
+from godwitdale_link import messages
+from godwitdale_verdicts import identifiers
+
+
+class AnswerLog:
+    """The frames of one answer, kept by the agent so that they can be resent.
+
+    Attributes:
+        id: The attempt.
+        account: The client account that may read it.
+        size_bytes: Data kept.
+        ended: Whether the last frame stands, or a refusal took its place.
+    """
+
+    __slots__ = ("id", "account", "size_bytes", "ended", "_frames", "_hasher")
+
+    def __init__(self, request_id: identifiers.RequestId, account: str) -> None:
+        self.id = request_id
+        self.account = account
+        self.size_bytes = 0
+        self.ended = False
+        self._frames: list[msgspec.Struct] = []
+        self._hasher = xxhash.xxh3_128()
+
+    @property
+    def next_frame(self) -> int:
+        """Number of the frame that comes next."""
+        return len(self._frames)
+
+    def head(
+        self, status: int, headers: messages.Headers, queued_s: float
+    ) -> msgspec.Struct:
+        """Adds frame 0 and returns it."""
+        return self._add(messages.Head(self.id, status, headers, queued_s))
+
+    def data(self, data: bytes) -> msgspec.Struct:
+        """Adds a data frame and returns it."""
+        self._hasher.update(data)
+        self.size_bytes += len(data)
+        return self._add(messages.Data(self.id, self.next_frame, data))
+
+    def end(self, load: messages.Load) -> msgspec.Struct:
+        """Adds the last frame and returns it."""
+        self.ended = True
+        digest = self._hasher.digest()
+        return self._add(messages.End(self.id, self.next_frame, digest, load))
+
+    def refuse(self, refused: messages.Refused) -> msgspec.Struct:
+        """Ends the answer with a refusal and returns it."""
+        self.ended = True
+        return self._add(refused)
+
+    def frames_from(self, number: int) -> list[msgspec.Struct]:
+        """Returns the frames from a number on."""
+        return self._frames[number:]
+
+    def _add(self, frame: msgspec.Struct) -> msgspec.Struct:
+        self._frames.append(frame)
+        return frame
+
+
+class Progress(enum.Enum):
+    """What a frame did to an answer that is put together."""
+
+    ADVANCED = "advanced"
+    DUPLICATE = "duplicate"
+    GAP = "gap"
+    COMPLETE = "complete"
+    DAMAGED = "damaged"
+
+
+@dataclasses.dataclass(slots=True)
+class Assembly:
+    """Checks that an answer arrives whole and in order.
+
+    Attributes:
+        next_frame: Number of the frame that must come next.
+    """
+
+    next_frame: int = 0
+    _hasher: xxhash.xxh3_128 = dataclasses.field(
+        default_factory=xxhash.xxh3_128
+    )
+
+    def take_head(self) -> Progress:
+        """Takes frame 0."""
+        return self._take(0)
+
+    def take_data(self, number: int, data: bytes) -> Progress:
+        """Takes a data frame.
+
+        Args:
+            number: Its number.
+            data: Its data.
+        """
+        progress = self._take(number)
+        if progress is Progress.ADVANCED:
+            self._hasher.update(data)
+        return progress
+
+    def take_end(self, number: int, digest: bytes) -> Progress:
+        """Takes the last frame.
+
+        Args:
+            number: Its number, which is the count of the frames before it.
+            digest: Digest of all data in order.
+        """
+        progress = self._take(number)
+        if progress is not Progress.ADVANCED:
+            return progress
+        if self._hasher.digest() != digest:
+            return Progress.DAMAGED
+        return Progress.COMPLETE
+
+    def _take(self, number: int) -> Progress:
+        if number < self.next_frame:
+            return Progress.DUPLICATE
+        if number > self.next_frame:
+            return Progress.GAP
+        self.next_frame += 1
+        return Progress.ADVANCED
--- /dev/null
+++ b/libs/link/src/godwitdale_link/client.py
@@ -0,0 +1,560 @@
+"""The entry's end: one agent, one live connection, many attempts.
+
+A connection that is silent for too long is replaced by a new one, and every
+attempt resumes there from the next frame it lacks. The connection goes through
+the states of ``_Machine``.
+"""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any, Protocol
+
+import automat
+from msgspec import structs
+from twisted.internet import error
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.python import failure
+
+from godwitdale_link import answers
+from godwitdale_link import framing
+from godwitdale_link import messages
+from godwitdale_verdicts import identifiers
+from godwitdale_verdicts import outcomes
+from godwitdale_verdicts import verdict as verdict_lib
+
+
+class Receiver(Protocol):
+    """Takes what becomes of one attempt."""
+
+    def answer_head(self, head: messages.Head) -> None:
+        """Takes status and headers."""
+
+    def answer_data(self, number: int, data: bytes) -> None:
+        """Takes a part of the body, in order and once."""
+
+    def answer_end(self) -> None:
+        """Is told that the answer is whole."""
+
+    def answer_refused(self, refusal: outcomes.Refusal) -> None:
+        """Is told that there will be no answer, or no rest of it."""
+
+    def answer_revoked(self, started: bool) -> None:
+        """Is told whether a revoked attempt has started."""
+
+
+class Host(Protocol):
+    """What a link needs from the process that owns it."""
+
+    def position(self) -> messages.Position:
+        """Returns how far the declarations are folded."""
+
+    def agent_seen(self, endpoint: str, position: messages.Position) -> None:
+        """Is told how far an agent has folded the declarations."""
+
+    def declarations_from(self, next_offset: int) -> messages.Declarations:
+        """Returns what is known beyond an offset."""
+
+    def declarations_received(self, message: messages.Declarations) -> None:
+        """Takes what an agent knows."""
+
+    def load_reported(
+        self,
+        endpoint: str,
+        load: messages.Load,
+        accounts: list[tuple[str, float]] | None,
+    ) -> None:
+        """Takes a load report; accounts are None where it has none."""
+
+    def agent_restarted(self, endpoint: str) -> None:
+        """Is told that an agent has a new incarnation."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timing:
+    """Times of a link.
+
+    Attributes:
+        heartbeat_s: Time between heartbeats.
+        silence_s: Silence after which a new connection is opened.
+        connect_s: Time that a connection may take to open.
+        give_up_s: Time without a connection after which attempts are lost.
+        reconnect_s: Time between tries to connect.
+    """
+
+    heartbeat_s: float = 1.0
+    silence_s: float = 3.0
+    connect_s: float = 2.0
+    give_up_s: float = 6.0
+    reconnect_s: float = 0.25
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    """One attempt that has not ended."""
+
+    submit: messages.Submit | messages.Resume
+    receiver: Receiver
+    agent: str = ""
+    assembly: answers.Assembly = dataclasses.field(
+        default_factory=answers.Assembly
+    )
+    handed_over: bool = False
+
+
+class _Connection(framing.MessageProtocol):
+    """One TCP connection to the agent."""
+
+    decoder = messages.from_agent_decoder
+
+    def __init__(self, link: "AgentLink") -> None:
+        super().__init__()
+        self._link = link
+        self.last_heard_s = 0.0
+
+    def connectionMade(self) -> None:  # noqa: N802
+        framing.set_no_delay(self.transport)
+        self._link.connection_made(self)
+
+    def message_received(self, message: Any) -> None:
+        self._link.message_received(self, message)
+
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        self._link.connection_lost(self)
+
+
+class _MachineInputs(Protocol):
+    """Inputs of the connection's state machine."""
+
+    def wanted(self) -> None:
+        """Something is to be sent."""
+
+    def opened(self) -> None:
+        """The agent has answered ``Hello``."""
+
+    def broken(self) -> None:
+        """The connection failed, was lost or fell silent."""
+
+    def closed(self) -> None:
+        """The link is not needed any more."""
+
+
+_builder = automat.TypeMachineBuilder(_MachineInputs, Callable[[], None])
+_idle = _builder.state("idle")
+_connecting = _builder.state("connecting")
+_open = _builder.state("open")
+_waiting = _builder.state("waiting")
+_shut = _builder.state("shut")
+
+
+@_idle.upon(_MachineInputs.wanted).to(_connecting)
+@_waiting.upon(_MachineInputs.wanted).to(_connecting)
+def _start_connecting(inputs: Any, core: Callable[[], None]) -> None:
+    core()
+
+
+_connecting.upon(_MachineInputs.wanted).loop().returns(None)
+_open.upon(_MachineInputs.wanted).loop().returns(None)
+_shut.upon(_MachineInputs.wanted).loop().returns(None)
+_connecting.upon(_MachineInputs.opened).to(_open).returns(None)
+for _state in (_idle, _waiting, _shut):
+    _state.upon(_MachineInputs.broken).loop().returns(None)
+for _state in (_connecting, _open):
+    _state.upon(_MachineInputs.broken).to(_waiting).returns(None)
+for _state in (_idle, _connecting, _open, _waiting):
+    _state.upon(_MachineInputs.closed).to(_shut).returns(None)
+_shut.upon(_MachineInputs.closed).loop().returns(None)
+_shut.upon(_MachineInputs.opened).loop().returns(None)
+_Machine = _builder.build()
+
+
+def _lost(attempt: _Attempt, endpoint: str) -> outcomes.Refusal:
+    if attempt.handed_over:
+        return outcomes.may_have_run(
+            outcomes.Reason.ENDPOINT_LOST, f"the agent of {endpoint} is lost"
+        )
+    return outcomes.not_run(
+        outcomes.Reason.ENDPOINT_LOST,
+        f"the agent of {endpoint} could not be reached",
+    )
+
+
+class AgentLink:
+    """All that an entry has under way with one agent.
+
+    Attributes:
+        endpoint: Name of the agent's endpoint.
+        replaced_connections: Counts connections replaced for silence.
+        dropped_frames: Counts frames of attempts that are not known.
+    """
+
+    def __init__(
+        self,
+        endpoint: str,
+        connect: interfaces.IStreamClientEndpoint,
+        incarnation: str,
+        host: Host,
+        clock: Any,
+        timing: Timing,
+    ) -> None:
+        """Starts without a connection.
+
+        Args:
+            endpoint: Name of the agent's endpoint.
+            connect: Opens a connection to the agent.
+            incarnation: The entry's incarnation.
+            host: The process that owns the link.
+            clock: A Twisted ``IReactorTime``.
+            timing: Times of the link.
+        """
+        self.endpoint = endpoint
+        self.replaced_connections = 0
+        self.dropped_frames = 0
+        self._connect = connect
+        self._incarnation = incarnation
+        self._host = host
+        self._clock = clock
+        self._timing = timing
+        self._attempts: dict[identifiers.RequestId, _Attempt] = {}
+        self._agent = ""
+        self._connections = 0
+        self._live: _Connection | None = None
+        self._is_open = False
+        self._down_since_s: float | None = None
+        self._has_failed = False
+        self._timer: Any = None
+        self._connecting: Any = None
+        self._machine = _Machine(self._open_connection)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the agent has answered on the live connection."""
+        return self._is_open
+
+    @property
+    def has_failed(self) -> bool:
+        """Whether the last connection failed and no new one stands yet."""
+        return self._has_failed
+
+    @property
+    def outstanding(self) -> int:
+        """Attempts that have not ended."""
+        return len(self._attempts)
+
+    @property
+    def traffic_bytes(self) -> tuple[int, int]:
+        """Bytes received and sent on the live connection."""
+        if self._live is None:
+            return 0, 0
+        return self._live.received_bytes, self._live.sent_bytes
+
+    def open(self) -> None:
+        """Opens the connection where there is none."""
+        self._machine.wanted()
+
+    def submit(self, submit: messages.Submit, receiver: Receiver) -> None:
+        """Hands a request to the agent.
+
+        Args:
+            submit: The request; the agent's incarnation is filled in here.
+            receiver: Takes what becomes of it.
+        """
+        self._start(submit.id, _Attempt(submit, receiver))
+
+    def resume(self, resume: messages.Resume, receiver: Receiver) -> None:
+        """Takes over an answer that another entry began to receive.
+
+        Args:
+            resume: The attempt. It asks for all frames, so that the digest
+                can be checked; the receiver passes over what the caller has.
+            receiver: Takes the frames.
+        """
+        attempt = _Attempt(resume, receiver, handed_over=True)
+        self._start(resume.id, attempt)
+
+    def revoke(self, request_id: identifiers.RequestId) -> None:
+        """Asks that an attempt never starts."""
+        attempt = self._attempts.get(request_id)
+        if attempt is None:
+            return
+        if not attempt.handed_over:
+            del self._attempts[request_id]
+            attempt.receiver.answer_revoked(started=False)
+            return
+        self._send(messages.Revoke(request_id))
+
+    def cancel(self, request_id: identifiers.RequestId) -> None:
+        """Ends an attempt that nobody waits for any more."""
+        attempt = self._attempts.pop(request_id, None)
+        if attempt is not None and attempt.handed_over:
+            self._send(messages.Cancel(request_id))
+
+    def close(self) -> None:
+        """Ends the connection; attempts under way are lost."""
+        self._machine.closed()
+        self._stop_timer()
+        self._drop_live()
+        self._lose_all()
+
+    def connection_made(self, connection: _Connection) -> None:
+        """Is told by a connection that it stands."""
+        if self._live is not None:
+            self._live.ignore_input()
+            self._live.drop()
+        self._live = connection
+        connection.last_heard_s = self._clock.seconds()
+        hello = messages.Hello(
+            self._incarnation, self._connections, self._host.position()
+        )
+        connection.send(hello)
+
+    def connection_lost(self, connection: _Connection) -> None:
+        """Is told by a connection that it has ended."""
+        if connection is self._live:
+            self._live = None
+            self._broken()
+
+    def message_received(self, connection: _Connection, message: Any) -> None:
+        """Takes a message of the live connection."""
+        if connection is not self._live:
+            return
+        connection.last_heard_s = self._clock.seconds()
+        handler = self._HANDLERS[type(message)]
+        handler(self, message)
+
+    def _start(
+        self, request_id: identifiers.RequestId, attempt: _Attempt
+    ) -> None:
+        self._attempts[request_id] = attempt
+        self._machine.wanted()
+        if self._is_open:
+            self._hand_over(attempt)
+
+    def _hand_over(self, attempt: _Attempt) -> None:
+        attempt.agent = self._agent
+        attempt.handed_over = True
+        message = attempt.submit
+        if isinstance(message, messages.Submit):
+            message = structs.replace(message, agent=self._agent)
+        self._send(message)
+
+    def _open_connection(self) -> None:
+        self._connections += 1
+        if self._down_since_s is None:
+            self._down_since_s = self._clock.seconds()
+        factory = protocol.Factory.forProtocol(lambda: _Connection(self))
+        opening = self._connect.connect(factory)
+        self._connecting = opening
+        opening.addTimeout(self._timing.connect_s, self._clock)
+        opening.addErrback(self._connect_failed)
+        self._arm_timer()
+
+    def _connect_failed(self, reason: failure.Failure) -> None:
+        reason.trap(error.ConnectError, error.TimeoutError, Exception)
+        self._broken()
+
+    def _broken(self) -> None:
+        self._is_open = False
+        self._has_failed = True
+        if self._down_since_s is None:
+            self._down_since_s = self._clock.seconds()
+        self._machine.broken()
+        never_sent = [
+            each for each in self._attempts.values() if not each.handed_over
+        ]
+        if never_sent:
+            self._lose(never_sent)
+        if self._attempts:
+            self._clock.callLater(
+                self._timing.reconnect_s, self._machine.wanted
+            )
+
+    def _arm_timer(self) -> None:
+        if self._timer is None or not self._timer.active():
+            self._timer = self._clock.callLater(
+                self._timing.heartbeat_s, self._beat
+            )
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _beat(self) -> None:
+        self._timer = None
+        self._check_silence()
+        self._check_given_up()
+        if self._is_open:
+            self._send(messages.Ping(self._host.position()))
+        if self._is_open or self._attempts or self._live is not None:
+            self._arm_timer()
+
+    def _check_silence(self) -> None:
+        live = self._live
+        if live is None:
+            return
+        silent_s = self._clock.seconds() - live.last_heard_s
+        if silent_s >= self._timing.silence_s:
+            self.replaced_connections += 1
+            self._drop_live()
+            self._broken()
+            self._machine.wanted()
+
+    def _check_given_up(self) -> None:
+        if self._down_since_s is None:
+            return
+        down_s = self._clock.seconds() - self._down_since_s
+        if down_s >= self._timing.give_up_s:
+            self._lose_all()
+
+    def _drop_live(self) -> None:
+        live, self._live = self._live, None
+        self._is_open = False
+        if live is not None:
+            live.ignore_input()
+            live.drop()
+
+    def _lose_all(self) -> None:
+        self._lose(list(self._attempts.values()))
+
+    def _lose(self, lost: list[_Attempt]) -> None:
+        for attempt in lost:
+            self._attempts.pop(attempt.submit.id, None)
+        for attempt in lost:
+            attempt.receiver.answer_refused(_lost(attempt, self.endpoint))
+
+    def _send(self, message: Any) -> None:
+        if self._live is not None and self._is_open:
+            self._live.send(message)
+
+    def _welcomed(self, message: messages.Welcome) -> None:
+        restarted = self._agent not in ("", message.incarnation)
+        self._agent = message.incarnation
+        self._is_open = True
+        self._down_since_s = None
+        self._has_failed = False
+        self._machine.opened()
+        if restarted:
+            self._host.agent_restarted(self.endpoint)
+        self._host.agent_seen(self.endpoint, message.position)
+        self._host.load_reported(self.endpoint, message.load, None)
+        self._resume_all()
+
+    def _resume_all(self) -> None:
+        strangers = []
+        for request_id, attempt in list(self._attempts.items()):
+            if not attempt.handed_over or attempt.agent == "":
+                self._hand_over(attempt)
+            elif attempt.agent != self._agent:
+                strangers.append(attempt)
+            else:
+                account = attempt.submit.account
+                next_frame = attempt.assembly.next_frame
+                self._send(messages.Resume(request_id, account, next_frame))
+        self._lose(strangers)
+
+    def _ponged(self, message: messages.Pong) -> None:
+        self._host.agent_seen(self.endpoint, message.position)
+        self._host.load_reported(self.endpoint, message.load, message.accounts)
+
+    def _fetched(self, message: messages.FetchDeclarations) -> None:
+        self._send(self._host.declarations_from(message.next_offset))
+
+    def fetch_declarations(self, next_offset: int) -> None:
+        """Asks the agent for what it knows beyond an offset."""
+        self._send(messages.FetchDeclarations(next_offset))
+
+    def _declarations(self, message: messages.Declarations) -> None:
+        self._host.declarations_received(message)
+
+    def _known(self, request_id: identifiers.RequestId) -> _Attempt | None:
+        attempt = self._attempts.get(request_id)
+        if attempt is None:
+            self.dropped_frames += 1
+        return attempt
+
+    def _head(self, message: messages.Head) -> None:
+        attempt = self._known(message.id)
+        if attempt is None:
+            return
+        progress = attempt.assembly.take_head()
+        if progress is answers.Progress.ADVANCED:
+            attempt.receiver.answer_head(message)
+
+    def _data(self, message: messages.Data) -> None:
+        attempt = self._known(message.id)
+        if attempt is None:
+            return
+        progress = attempt.assembly.take_data(message.number, message.data)
+        if progress is answers.Progress.ADVANCED:
+            attempt.receiver.answer_data(message.number, message.data)
+        elif progress is answers.Progress.GAP:
+            self._ask_again(message.id, attempt)
+
+    def _end(self, message: messages.End) -> None:
+        attempt = self._known(message.id)
+        if attempt is None:
+            return
+        progress = attempt.assembly.take_end(message.number, message.digest)
+        if progress is answers.Progress.GAP:
+            self._ask_again(message.id, attempt)
+        elif progress is answers.Progress.COMPLETE:
+            del self._attempts[message.id]
+            self._send(messages.Received(message.id))
+            self._host.load_reported(self.endpoint, message.load, None)
+            attempt.receiver.answer_end()
+        elif progress is answers.Progress.DAMAGED:
+            self._damaged(message.id, attempt)
+
+    def _damaged(
+        self, request_id: identifiers.RequestId, attempt: _Attempt
+    ) -> None:
+        del self._attempts[request_id]
+        attempt.receiver.answer_refused(
+            outcomes.ran(
+                outcomes.Reason.ANSWER_LOST, "the answer arrived damaged"
+            )
+        )
+
+    def _ask_again(
+        self, request_id: identifiers.RequestId, attempt: _Attempt
+    ) -> None:
+        account = attempt.submit.account
+        next_frame = attempt.assembly.next_frame
+        self._send(messages.Resume(request_id, account, next_frame))
+
+    def _refused(self, message: messages.Refused) -> None:
+        attempt = self._attempts.pop(message.id, None)
+        if attempt is None:
+            self.dropped_frames += 1
+            return
+        self._send(messages.Received(message.id))
+        refusal = outcomes.Refusal(
+            outcomes.Reason(message.reason),
+            message.detail,
+            verdict_lib.Verdict(message.verdict),
+            message.retry_after_s,
+        )
+        attempt.receiver.answer_refused(refusal)
+
+    def _revoked(self, message: messages.Revoked) -> None:
+        attempt = self._known(message.id)
+        if attempt is None:
+            return
+        if not message.started:
+            del self._attempts[message.id]
+        attempt.receiver.answer_revoked(message.started)
+
+    _HANDLERS: dict[type, Callable[["AgentLink", Any], None]] = {
+        messages.Welcome: _welcomed,
+        messages.Pong: _ponged,
+        messages.FetchDeclarations: _fetched,
+        messages.Declarations: _declarations,
+        messages.Head: _head,
+        messages.Data: _data,
+        messages.End: _end,
+        messages.Refused: _refused,
+        messages.Revoked: _revoked,
+    }
--- /dev/null
+++ b/libs/observe/src/godwitdale_observe/histograms.py
@@ -0,0 +1,146 @@
+"""Histograms of times per service class and client account."""
+
+import dataclasses
+import enum
+
+from hdrh import histogram as hdr
+
+_MOST_US = 3_600_000_000
+_LEAST_US = 10
+_SIGNIFICANT_FIGURES = 2
+_WORD_BYTES = 4
+_US_PER_S = 1_000_000
+_MS_PER_US = 0.001
+OTHER = "(other)"
+
+
+class Metric(enum.Enum):
+    """What is measured."""
+
+    FIRST_TOKEN = "time_to_first_token"
+    BETWEEN_TOKENS = "time_between_tokens"
+    WHOLE = "whole_time"
+    QUEUE = "queue_time"
+    SKEW = "step_time_skew"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """A summary of one histogram.
+
+    Attributes:
+        metric: What is measured.
+        kind: ``class`` or ``account``.
+        name: Name of the class or the account.
+        count: Number of values.
+        p50_ms: Median.
+        p95_ms: 95th percentile.
+        p99_ms: 99th percentile.
+        max_ms: Largest value.
+    """
+
+    metric: str
+    kind: str
+    name: str
+    count: int
+    p50_ms: float
+    p95_ms: float
+    p99_ms: float
+    max_ms: float
+
+
+def _new() -> hdr.HdrHistogram:
+    return hdr.HdrHistogram(
+        _LEAST_US, _MOST_US, _SIGNIFICANT_FIGURES, word_size=_WORD_BYTES
+    )
+
+
+class Histograms:
+    """A bounded set of histograms.
+
+    The first accounts seen have histograms of their own; when there are too
+    many, the least used one is merged into ``OTHER``.
+    """
+
+    __slots__ = ("_most_accounts", "_classes", "_accounts")
+
+    def __init__(self, most_accounts: int) -> None:
+        """Starts empty.
+
+        Args:
+            most_accounts: Accounts with histograms of their own.
+        """
+        self._most_accounts = most_accounts
+        self._classes: dict[str, dict[Metric, hdr.HdrHistogram]] = {}
+        self._accounts: dict[str, dict[Metric, hdr.HdrHistogram]] = {}
+
+    def record(
+        self, metric: Metric, service_class: str, account: str, value_s: float
+    ) -> None:
+        """Adds one value.
+
+        Args:
+            metric: What was measured.
+            service_class: The request's class.
+            account: Its client account.
+            value_s: The value.
+        """
+        value_us = min(_MOST_US, max(_LEAST_US, int(value_s * _US_PER_S)))
+        self._find(self._classes, service_class, metric).record_value(value_us)
+        if account not in self._accounts:
+            self._make_room()
+        self._find(self._accounts, account, metric).record_value(value_us)
+
+    def rows(self) -> list[Row]:
+        """Returns a summary of every histogram."""
+        found = []
+        for kind, table in (
+            ("class", self._classes),
+            ("account", self._accounts),
+        ):
+            for name in sorted(table):
+                for metric, each in table[name].items():
+                    found.append(_summary(metric, kind, name, each))
+        return found
+
+    def _find(
+        self,
+        table: dict[str, dict[Metric, hdr.HdrHistogram]],
+        name: str,
+        metric: Metric,
+    ) -> hdr.HdrHistogram:
+        by_metric = table.setdefault(name, {})
+        if metric not in by_metric:
+            by_metric[metric] = _new()
+        return by_metric[metric]
+
+    def _make_room(self) -> None:
+        if len(self._accounts) < self._most_accounts:
+            return
+        candidates = [name for name in self._accounts if name != OTHER]
+        least = min(candidates, key=self._use_of)
+        for metric, each in self._accounts.pop(least).items():
+            self._find(self._accounts, OTHER, metric).add(each)
+
+    def _use_of(self, account: str) -> int:
+        return sum(
+            each.get_total_count() for each in self._accounts[account].values()
+        )
+
+
+def _summary(
+    metric: Metric, kind: str, name: str, each: hdr.HdrHistogram
+) -> Row:
+    def at(percentile: float) -> float:
+        return each.get_value_at_percentile(percentile) * _MS_PER_US
+
+    return Row(
+        metric.value,
+        kind,
+        name,
+        each.get_total_count(),
+        at(50),
+        at(95),
+        at(99),
+        each.get_max_value() * _MS_PER_US,
+    )
--- /dev/null
+++ b/libs/observe/src/godwitdale_observe/logs.py
@@ -0,0 +1,51 @@
+"""Structured logs: one JSON object a line on standard error."""
+
+import logging
+import sys
+from typing import Any
+
+from pythonjsonlogger import json as json_logger
+
+_LOGGER = "godwitdale"
+
+
+def configure(instance: str, level: str = "INFO") -> None:
+    """Sends the project's logs to standard error.
+
+    Args:
+        instance: Name of the instance, which goes into every line.
+        level: The lowest level that is written.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        json_logger.JsonFormatter(
+            "%(asctime)s %(levelname)s %(message)s",
+            rename_fields={"asctime": "time", "levelname": "level"},
+            static_fields={"instance": instance},
+        )
+    )
+    logger = logging.getLogger(_LOGGER)
+    logger.handlers[:] = [handler]
+    logger.setLevel(level)
+    logger.propagate = False
+
+
+class EventLog:
+    """Writes events with fields.
+
+    Keys and bodies of requests never go in here; callers pass only
+    identifiers, names, durations and verdicts.
+    """
+
+    __slots__ = ("_logger",)
+
+    def __init__(self) -> None:
+        self._logger = logging.getLogger(_LOGGER)
+
+    def info(self, event: str, **fields: Any) -> None:
+        """Writes an ordinary event."""
+        self._logger.info(event, extra=fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        """Writes an event that an operator may have to look at."""
+        self._logger.warning(event, extra=fields)
--- /dev/null
+++ b/libs/platform/src/godwitdale_platform/instances.py
@@ -0,0 +1,77 @@
+"""Client of the platform's lagging list of instances.
+
+``GET /instances`` returns a JSON list of ``Instance``.
+"""
+
+from typing import Any, Literal
+
+import msgspec
+import treq
+
+from godwitdale_verdicts import exceptions
+
+_OK = 200
+
+
+class Instance(msgspec.Struct, frozen=True):
+    """One process as the platform knows it.
+
+    Attributes:
+        name: Unique name.
+        role: What it is.
+        host: IP number.
+        port: Port for callers (entry) or for entries (agent).
+        admin_port: Port that serves the status.
+        zone: Availability zone.
+        state: Whether it is about to be stopped.
+        endpoint: Name of an agent's endpoint.
+    """
+
+    name: str
+    role: Literal["entry", "agent"]
+    host: str
+    port: int
+    admin_port: int
+    zone: str
+    state: Literal["live", "leaving"] = "live"
+    endpoint: str = ""
+
+
+_decoder = msgspec.json.Decoder(list[Instance])
+
+
+class HttpInstanceList:
+    """The list over HTTP."""
+
+    def __init__(self, base_url: str, timeout_s: float) -> None:
+        """Prepares a client; nothing is sent yet.
+
+        Args:
+            base_url: Such as ``http://127.0.0.1:7001``.
+            timeout_s: Time that a request may take.
+        """
+        self._url = base_url.rstrip("/") + "/instances"
+        self._timeout_s = timeout_s
+
+    async def fetch(self, reactor: Any = None) -> list[Instance]:
+        """Returns the list as the platform has it at the moment.
+
+        Raises:
+            exceptions.PlatformUnavailableError: The list does not answer.
+        """
+        try:
+            response = await treq.get(
+                self._url, timeout=self._timeout_s, reactor=reactor
+            )
+            body = await treq.content(response)
+            if response.code != _OK:
+                raise exceptions.PlatformUnavailableError(
+                    f"the instance list answered {response.code}"
+                )
+            return _decoder.decode(body)
+        except exceptions.PlatformUnavailableError:
+            raise
+        except Exception as failed:
+            raise exceptions.PlatformUnavailableError(
+                f"the instance list does not answer: {failed!r}"
+            ) from failed
--- /dev/null
+++ b/libs/routing/src/godwitdale_routing/attempts.py
@@ -0,0 +1,112 @@
+"""What to do when an attempt at a request has ended without an answer."""
+
+import dataclasses
+import enum
+
+from godwitdale_routing import retries
+from godwitdale_verdicts import outcomes
+from godwitdale_verdicts import verdict as verdict_lib
+
+
+class Keyed(enum.Enum):
+    """Whether claims in the log guard the request against a second run."""
+
+    YES = "yes"
+    NO = "no"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Situation:
+    """What is known when an attempt has failed.
+
+    Attributes:
+        repeatable: Whether a second run does no harm.
+        keyed: Whether claims guard the request.
+        answer_begun: Whether the caller has seen part of an answer.
+        in_doubt: Whether an earlier attempt may have run.
+        attempts: Attempts made so far.
+        most_attempts: Attempts that may be made.
+        time_left_s: Time to the caller's deadline.
+    """
+
+    repeatable: bool
+    keyed: Keyed
+    answer_begun: bool
+    in_doubt: bool
+    attempts: int
+    most_attempts: int
+    time_left_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TryAgain:
+    """Hand the request to another endpoint."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Tell the caller.
+
+    Attributes:
+        refusal: What to say.
+    """
+
+    refusal: outcomes.Refusal
+
+
+NextStep = TryAgain | GiveUp
+
+
+def is_safe_to_repeat(refusal: outcomes.Refusal, situation: Situation) -> bool:
+    """Tells whether another attempt can do no harm.
+
+    Work that did not run may always be tried again. Work that may have run
+    may be tried again where it is repeatable, and also where it carries a
+    key: the next agent's claim loses to the one that may have run.
+
+    Args:
+        refusal: How the last attempt ended.
+        situation: What is known of the request.
+    """
+    if situation.answer_begun:
+        return False
+    if refusal.verdict is verdict_lib.Verdict.NOT_RUN:
+        return True
+    if refusal.verdict is verdict_lib.Verdict.RAN:
+        return False
+    return situation.repeatable or situation.keyed is Keyed.YES
+
+
+def after_failure(
+    refusal: outcomes.Refusal,
+    situation: Situation,
+    budget: retries.RetryBudget,
+) -> NextStep:
+    """Decides between another attempt and an answer to the caller.
+
+    Args:
+        refusal: How the last attempt ended.
+        situation: What is known of the request.
+        budget: Retry budget of the entry; it pays for every new attempt.
+    """
+    may_retry = (
+        refusal.is_local
+        and is_safe_to_repeat(refusal, situation)
+        and situation.attempts < situation.most_attempts
+        and situation.time_left_s > 0
+    )
+    if may_retry and budget.take():
+        return TryAgain()
+    return GiveUp(_truthful(refusal, situation))
+
+
+def _truthful(
+    refusal: outcomes.Refusal, situation: Situation
+) -> outcomes.Refusal:
+    """Keeps an earlier doubt: the last attempt speaks only for itself."""
+    is_not_run = refusal.verdict is verdict_lib.Verdict.NOT_RUN
+    if not (is_not_run and situation.in_doubt):
+        return refusal
+    return dataclasses.replace(
+        refusal, verdict=verdict_lib.Verdict.MAY_HAVE_RUN
+    )
--- /dev/null
+++ b/libs/routing/src/godwitdale_routing/choice.py
@@ -0,0 +1,209 @@
+"""Choice of an endpoint by predicted time to first token."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import random
+from typing import Protocol
+
+from godwitdale_routing import health as health_lib
+
+_CHOICES = 2
+_OTHER_ZONE_PENALTY_S = 0.001
+_EWMA_WEIGHT = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an agent last said of its endpoint.
+
+    Attributes:
+        running: Requests in the endpoint.
+        queued: Requests that wait at the agent.
+        slots: Requests that the endpoint takes at once.
+        service_s: Time that one request occupies a slot.
+        step_s: Time of one step of its group, stragglers included.
+        prefill_tokens_per_s: Prompt tokens that it reads a second.
+        leaving: Whether it takes no new work.
+    """
+
+    running: int = 0
+    queued: int = 0
+    slots: int = 1
+    service_s: float = 1.0
+    step_s: float = 0.0
+    prefill_tokens_per_s: float = 10_000.0
+    leaving: bool = False
+
+
+class Tracked:
+    """One endpoint as an entry sees it.
+
+    Attributes:
+        name: Name of the endpoint.
+        zone: Its availability zone.
+        report: The last load report.
+        sent: Requests sent since the report was made that it cannot include.
+        health: Failures and slow start.
+        first_byte_s: Smoothed measured time to the first byte.
+    """
+
+    __slots__ = ("name", "zone", "report", "sent", "health", "first_byte_s")
+
+    def __init__(self, name: str, zone: str, now_s: float) -> None:
+        self.name = name
+        self.zone = zone
+        self.report = LoadReport()
+        self.sent = 0
+        self.health = health_lib.Health(now_s)
+        self.first_byte_s = 0.0
+
+    def reported(self, report: LoadReport, included: int) -> None:
+        """Takes over a report.
+
+        Args:
+            report: The report.
+            included: Requests of this entry that the report includes.
+        """
+        self.report = report
+        self.sent = max(0, self.sent - included)
+
+    def answered(self, first_byte_s: float) -> None:
+        """Notes a measured time to the first byte."""
+        self.health.succeeded()
+        self.first_byte_s += _EWMA_WEIGHT * (first_byte_s - self.first_byte_s)
+
+    def predicted_s(self, prompt_tokens: int, cached_tokens: int) -> float:
+        """Predicts the time to the first token of a new request.
+
+        Args:
+            prompt_tokens: Length of the prompt.
+            cached_tokens: Its part that is likely in the prefix cache.
+        """
+        report = self.report
+        ahead = report.running + report.queued + self.sent
+        waiting = max(0, ahead + 1 - report.slots)
+        queue_s = waiting * report.service_s / max(1, report.slots)
+        fresh_tokens = max(0, prompt_tokens - cached_tokens)
+        prefill_s = fresh_tokens / report.prefill_tokens_per_s
+        crowding = 1 + ahead / max(1, report.slots)
+        return queue_s + prefill_s + report.step_s * crowding
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """What a chooser may know of a request.
+
+    Attributes:
+        prompt_tokens: Estimated length of the prompt.
+        cached_tokens: Estimated cached part by endpoint.
+        zone: Availability zone of the entry.
+        home: Endpoint that the key is homed at, or None.
+    """
+
+    prompt_tokens: int = 0
+    cached_tokens: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    zone: str = ""
+    home: str | None = None
+
+
+class Chooser(Protocol):
+    """Picks one of several endpoints."""
+
+    def choose(
+        self, candidates: Sequence[Tracked], ask: Ask, now_s: float
+    ) -> Tracked:
+        """Returns one of the candidates, of which there is at least one."""
+
+
+class TwoChoices:
+    """The better of two random endpoints and the warmest one.
+
+    Two choices avoid that every entry runs to the endpoint whose late report
+    looks best; the warmest endpoint joins them, so that a cached prefix is
+    used while it wins by prediction, and only then.
+    """
+
+    __slots__ = ("_rng",)
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(
+        self, candidates: Sequence[Tracked], ask: Ask, now_s: float
+    ) -> Tracked:
+        """Returns the candidate with the lowest predicted time."""
+        for each in candidates:
+            if each.name == ask.home:
+                return each
+        drawn = self._draw(candidates, now_s)
+        if ask.cached_tokens:
+            drawn.append(
+                max(
+                    candidates,
+                    key=lambda each: ask.cached_tokens.get(each.name, 0),
+                )
+            )
+        return min(drawn, key=lambda each: self._cost_s(each, ask, now_s))
+
+    def _draw(
+        self, candidates: Sequence[Tracked], now_s: float
+    ) -> list[Tracked]:
+        count = min(_CHOICES, len(candidates))
+        return self._rng.sample(list(candidates), count)
+
+    def _cost_s(self, each: Tracked, ask: Ask, now_s: float) -> float:
+        cached = ask.cached_tokens.get(each.name, 0)
+        predicted_s = each.predicted_s(ask.prompt_tokens, cached)
+        if each.zone != ask.zone:
+            predicted_s += _OTHER_ZONE_PENALTY_S
+        ramp = each.health.ramp(now_s)
+        return (predicted_s + each.report.step_s) / ramp
+
+
+class RoundRobin:
+    """Each in turn, a baseline of the benchmarks."""
+
+    __slots__ = ("_next",)
+
+    def __init__(self) -> None:
+        self._next = 0
+
+    def choose(
+        self, candidates: Sequence[Tracked], ask: Ask, now_s: float
+    ) -> Tracked:
+        """Returns the next candidate."""
+        self._next += 1
+        return candidates[self._next % len(candidates)]
+
+
+class Random:
+    """Any endpoint, a baseline of the benchmarks."""
+
+    __slots__ = ("_rng",)
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(
+        self, candidates: Sequence[Tracked], ask: Ask, now_s: float
+    ) -> Tracked:
+        """Returns a random candidate."""
+        return self._rng.choice(candidates)
+
+
+class LeastOutstanding:
+    """The least loaded by its last report, a baseline of the benchmarks."""
+
+    __slots__ = ()
+
+    def choose(
+        self, candidates: Sequence[Tracked], ask: Ask, now_s: float
+    ) -> Tracked:
+        """Returns the candidate with the fewest requests known of."""
+        return min(
+            candidates,
+            key=lambda each: (
+                each.report.running + each.report.queued + each.sent
+            ),
+        )
--- /dev/null
+++ b/libs/routing/src/godwitdale_routing/retries.py
@@ -0,0 +1,55 @@
+"""Retry budget and backoff."""
+
+import random
+
+_BACKOFF_FACTOR = 2.0
+
+
+class RetryBudget:
+    """Allows retries as a share of recent requests.
+
+    A failure of many endpoints at once then adds at most that share of load.
+    """
+
+    __slots__ = ("_share", "_most", "_tokens")
+
+    def __init__(self, share: float, most: float) -> None:
+        """Starts with a full budget.
+
+        Args:
+            share: Retries earned by each request.
+            most: Retries that may be saved up.
+        """
+        self._share = share
+        self._most = most
+        self._tokens = most
+
+    def set_share(self, share: float) -> None:
+        """Takes over a newly declared share."""
+        self._share = share
+
+    def request(self) -> None:
+        """Notes one request of a caller."""
+        self._tokens = min(self._most, self._tokens + self._share)
+
+    def take(self) -> bool:
+        """Takes one retry out of the budget; returns whether it had one."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+def backoff_s(
+    attempt: int, base_s: float, most_s: float, rng: random.Random
+) -> float:
+    """Returns a delay with full jitter.
+
+    Args:
+        attempt: Number of failures so far, from 1.
+        base_s: Upper bound of the first delay.
+        most_s: Upper bound of every delay.
+        rng: Source of the jitter.
+    """
+    bound_s = min(most_s, base_s * _BACKOFF_FACTOR ** (attempt - 1))
+    return rng.uniform(0, bound_s)
--- /dev/null
+++ b/libs/standins/src/godwitdale_standins/__init__.py
@@ -0,0 +1,17 @@
+"""Small stand-ins of the platform and of endpoints, for development."""
+
+from godwitdale_standins import engine
+from godwitdale_standins import instance_list
+from godwitdale_standins import launch
+from godwitdale_standins import log_service
+from godwitdale_standins import plain_app
+from godwitdale_standins import weight_store
+
+__all__ = [
+    "engine",
+    "instance_list",
+    "launch",
+    "log_service",
+    "plain_app",
+    "weight_store",
+]
--- /dev/null
+++ b/libs/standins/src/godwitdale_standins/launch.py
@@ -0,0 +1,49 @@
+"""Starting a stand-in in the present process."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.web import server
+
+from godwitdale_standins import engine
+from godwitdale_standins import instance_list
+from godwitdale_standins import log_service
+from godwitdale_standins import plain_app
+from godwitdale_standins import relay
+from godwitdale_standins import weight_store
+
+_MAKERS: dict[str, Callable[[str], Any]] = {
+    "log": lambda _: log_service.LogService(),
+    "instances": lambda _: instance_list.InstanceList(),
+    "weights": lambda _: weight_store.WeightStore(),
+    "engine": lambda model: engine.Engine(model, engine.EngineShape()),
+    "app": plain_app.PlainApp,
+    "relay": lambda _: relay.Relay(),
+}
+NAMES = tuple(_MAKERS)
+
+
+def make(name: str, label: str) -> Any:
+    """Makes a stand-in.
+
+    Args:
+        name: One of ``NAMES``.
+        label: Model of an engine, name of an app.
+    """
+    return _MAKERS[name](label)
+
+
+def listen(reactor: Any, service: Any, host: str, port: int) -> Any:
+    """Serves a stand-in.
+
+    Args:
+        reactor: The Twisted reactor.
+        service: What ``make`` returned.
+        host: IP number to listen on.
+        port: Port, or 0 for any free one.
+
+    Returns:
+        The listening port.
+    """
+    site = server.Site(service.app.resource())
+    return reactor.listenTCP(port, site, interface=host)
--- /dev/null
+++ b/libs/verdicts/src/godwitdale_verdicts/exceptions.py
@@ -0,0 +1,86 @@
+"""The family of errors that are shown to an operator."""
+
+import dataclasses
+
+
+class GodwitdaleError(Exception):
+    """Base of all errors that end a command.
+
+    Attributes:
+        exit_code: The exit status of a process that ends with this error.
+    """
+
+    exit_code = 1
+
+    def __init__(self, message: str) -> None:
+        """Stores the message that says what was wrong, where, and the mend."""
+        super().__init__(message)
+        self.message = message
+
+    def show(self) -> str:
+        """Returns the text for standard error, without a trailing newline."""
+        return f"Error: {self.message}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing that is wrong in a file.
+
+    Attributes:
+        path: Where in the file, such as ``$.listen.port``.
+        found: What was found there.
+        expected: What would be right.
+    """
+
+    path: str
+    found: str
+    expected: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: found {self.found}; expected {self.expected}"
+
+
+class InvalidFileError(GodwitdaleError):
+    """A settings file or a declaration file cannot be used.
+
+    Attributes:
+        file: The name of the file as the operator gave it.
+        faults: Everything that is wrong with it.
+    """
+
+    exit_code = 2
+
+    def __init__(self, file: str, faults: list[Fault]) -> None:
+        super().__init__(f"{file} has {len(faults)} fault(s)")
+        self.file = file
+        self.faults = faults
+
+    def show(self) -> str:
+        """Returns one line for the file and one for each fault."""
+        lines = [f"Error: {self.message}:"]
+        lines += [f"  {fault}" for fault in self.faults]
+        return "\n".join(lines)
+
+
+class PlatformUnavailableError(GodwitdaleError):
+    """A service of the platform did not answer, or not in time."""
+
+    exit_code = 3
+
+
+class RejectedError(GodwitdaleError):
+    """The log holds the record, but the fold rejected it."""
+
+    exit_code = 4
+
+
+class NotInForceError(GodwitdaleError):
+    """An accepted declaration is not yet in force everywhere."""
+
+    exit_code = 5
+
+
+class ViolationError(GodwitdaleError):
+    """A check of a promise failed."""
+
+    exit_code = 6
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,69 @@
+"""Builders of test data."""
+
+from godwitdale_declarations import objects
+
+CHAT_PATH = "/v1/chat/completions"
+MODEL = "test-llm"
+
+
+def condition(attribute, op, *values, negate=False):
+    """Returns a condition."""
+    return objects.Condition(
+        attribute=attribute, op=op, values=list(values), negate=negate
+    )
+
+
+def declared(engines=2, apps=2, keys="required", policy=None):
+    """Returns declarations for engines and apps, with two accounts."""
+    found = [
+        policy or objects.Policy(retry_share=1.0),
+        objects.Account(name="mill", labels={"kind": "desk"}),
+        objects.Account(name="buyer", labels={"kind": "buyer"}),
+        objects.Work(
+            name="draft",
+            service_class="quote",
+            priority=0,
+            deadline_s=10.0,
+            timeout_s=30.0,
+            repeatable=True,
+            keys="ignored",
+        ),
+        objects.Work(
+            name="booking",
+            service_class="booking",
+            priority=1,
+            deadline_s=6.0,
+            timeout_s=15.0,
+            keys=keys,
+        ),
+        objects.Selector(
+            name="drafts",
+            work="draft",
+            when=[condition("path", "equals", CHAT_PATH)],
+            endpoints=[condition("model", "equals", MODEL)],
+        ),
+        objects.Selector(
+            name="bookings",
+            work="booking",
+            when=[condition("path", "prefix", "/orders")],
+            endpoints=[condition("role", "equals", "app")],
+        ),
+    ]
+    for number in range(1, engines + 1):
+        labels = {"model": MODEL, "role": "engine"}
+        found.append(objects.Endpoint(name=f"engine-{number}", labels=labels))
+    for number in range(1, apps + 1):
+        found.append(
+            objects.Endpoint(name=f"app-{number}", labels={"role": "app"})
+        )
+    return found
+
+
+def chat(text="hello", tokens=8, stream=True):
+    """Returns the body of a chat."""
+    return {
+        "model": MODEL,
+        "messages": [{"role": "user", "content": text}],
+        "stream": stream,
+        "max_tokens": tokens,
+    }
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,9 @@
+"""Settings that hold for all tests."""
+
+
+import hypothesis
+
+hypothesis.settings.register_profile(
+    "fixed", derandomize=True, deadline=None, database=None
+)
+hypothesis.settings.load_profile("fixed")
--- /dev/null
+++ b/tests/system/test_path.py
@@ -0,0 +1,236 @@
+"""The whole path through separate processes."""
+
+import json
+import time
+
+import pytest
+
+import builders
+from godwitdale import testing
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory):
+    plan = testing.Plan(declared=builders.declared())
+    with testing.Cluster(plan, tmp_path_factory.mktemp("path")) as started:
+        yield started
+
+
+def test_a_draft_is_streamed_and_whole(cluster):
+    answer = testing.ask(
+        cluster.entry_url() + builders.CHAT_PATH,
+        "POST",
+        builders.chat(tokens=5),
+        cluster.headers("buyer"),
+    )
+    events = answer.body.decode().strip().split("\n\n")
+    assert answer.status == 200
+    assert answer.headers["content-type"] == "text/event-stream"
+    assert answer.verdict == "ran"
+    assert len(events) == 6
+    assert events[-1].endswith("data: [DONE]")
+    assert all(event.startswith("id: engine-") for event in events)
+
+
+def test_a_draft_is_answered_whole_without_streaming(cluster):
+    answer = testing.ask(
+        cluster.entry_url() + builders.CHAT_PATH,
+        "POST",
+        builders.chat(tokens=5, stream=False),
+        cluster.headers("buyer"),
+    )
+    assert answer.json()["usage"]["completion_tokens"] == 5
+    assert int(answer.headers["content-length"]) == len(answer.body)
+
+
+def test_a_booking_sent_through_both_entries_has_one_effect(cluster):
+    codes = []
+    for number in (1, 2, 1):
+        answer = testing.ask(
+            cluster.entry_url(number) + "/orders",
+            "POST",
+            {"bags": 3},
+            cluster.headers("mill", Idempotency_Key='"one"'),
+        )
+        codes.append(answer.status)
+    effects = cluster.records("endpoint-app-1")
+    effects += cluster.records("endpoint-app-2")
+    assert codes == [201, 201, 201]
+    assert len(effects) == 1
+    assert effects[0]["account"] == "mill"
+
+
+def test_a_key_with_another_body_is_refused(cluster):
+    url = cluster.entry_url() + "/orders"
+    headers = cluster.headers("mill", Idempotency_Key="two")
+    first = testing.ask(url, "POST", {"bags": 1}, headers)
+    second = testing.ask(url, "POST", {"bags": 2}, headers)
+    assert first.status == 201
+    assert second.status == 422
+    assert second.json()["verdict"] == "not-run"
+
+
+def test_accounts_do_not_share_keys(cluster):
+    url = cluster.entry_url() + "/orders"
+    answers = [
+        testing.ask(
+            url,
+            "POST",
+            {"of": account},
+            cluster.headers(account, Idempotency_Key="shared"),
+        )
+        for account in ("mill", "buyer")
+    ]
+    assert [answer.status for answer in answers] == [201, 201]
+
+
+def test_a_caller_cannot_pose_as_another_account(cluster):
+    answer = testing.ask(
+        cluster.entry_url() + "/orders",
+        "POST",
+        {"spoof": True},
+        cluster.headers(
+            "buyer", Idempotency_Key="spoof", Godwitdale_Account="mill"
+        ),
+    )
+    effects = cluster.records("endpoint-app-1")
+    effects += cluster.records("endpoint-app-2")
+    spoofed = [effect for effect in effects if "spoof" in effect["body"]]
+    assert answer.status == 201
+    assert [effect["account"] for effect in spoofed] == ["buyer"]
+
+
+@pytest.mark.parametrize(
+    ("change", "status"),
+    [
+        ({"headers": {}}, 401),
+        ({"headers": {"Authorization": "Bearer mill.wrong"}}, 401),
+        ({"headers": {"Authorization": "Basic x"}}, 401),
+        ({"body": b"not json"}, 400),
+        ({"body": {"model": builders.MODEL, "messages": []}}, 400),
+        ({"body": {"model": "no-such", "messages": [{"role": "user"}]}}, 404),
+        ({"path": "/nowhere"}, 404),
+        ({"body": b"x" * 2_000_000}, 413),
+        ({"path": "/orders"}, 400),
+    ],
+)
+def test_bad_input_is_refused_as_not_run(cluster, change, status):
+    answer = testing.ask(
+        cluster.entry_url() + change.get("path", builders.CHAT_PATH),
+        "POST",
+        change.get("body", builders.chat()),
+        change.get("headers", cluster.headers("buyer")),
+    )
+    assert answer.status == status
+    assert answer.verdict == "not-run"
+    assert answer.json()["verdict"] == "not-run"
+    assert answer.headers["content-type"] == "application/problem+json"
+
+
+def test_a_caller_that_hangs_up_cancels_the_work(cluster):
+    before = [
+        len(cluster.records(f"endpoint-engine-{n}")["cancelled"])
+        for n in (1, 2)
+    ]
+    with testing.stream(
+        cluster.entry_url() + builders.CHAT_PATH,
+        builders.chat(tokens=2000),
+        cluster.headers("buyer"),
+    ) as response:
+        response.readline()
+    cluster.wait_until(
+        lambda: (
+            sum(
+                len(cluster.records(f"endpoint-engine-{n}")["cancelled"])
+                for n in (1, 2)
+            )
+            > sum(before)
+        ),
+        "the engine has cancelled",
+    )
+
+
+def test_models_are_listed(cluster):
+    answer = testing.ask(
+        cluster.entry_url() + "/v1/models", headers=cluster.headers("mill")
+    )
+    assert [each["id"] for each in answer.json()["data"]] == [builders.MODEL]
+
+
+def test_a_stream_resumes_at_another_entry_for_the_same_account(cluster):
+    url = cluster.entry_url(1) + builders.CHAT_PATH
+    whole = testing.ask(
+        url, "POST", builders.chat(tokens=6), cluster.headers("buyer")
+    )
+    events = whole.body.decode().strip().split("\n\n")
+    last_id = events[2].splitlines()[0].removeprefix("id: ")
+    resumed = testing.ask(
+        cluster.entry_url(2) + builders.CHAT_PATH,
+        "POST",
+        builders.chat(tokens=6),
+        cluster.headers("buyer", Last_Event_ID=last_id),
+    )
+    stolen = testing.ask(
+        cluster.entry_url(2) + builders.CHAT_PATH,
+        "POST",
+        builders.chat(tokens=6),
+        cluster.headers("mill", Last_Event_ID=last_id),
+    )
+    assert resumed.body.decode().strip().split("\n\n") == events[3:]
+    assert stolen.status == 502
+    assert b"pumice" not in stolen.body
+
+
+def test_logs_tell_the_verdict_and_never_a_key_or_a_body(cluster):
+    testing.ask(
+        cluster.entry_url() + builders.CHAT_PATH,
+        "POST",
+        builders.chat(text="secret-text"),
+        cluster.headers("buyer"),
+    )
+    output = cluster.processes["entry-1"].output()
+    lines = [json.loads(line) for line in output.splitlines()]
+    answered = [line for line in lines if line.get("result") == "answered"]
+    assert answered[-1]["account"] == "buyer"
+    assert answered[-1]["service_class"] == "quote"
+    assert answered[-1]["verdict"] == "ran"
+    assert "secret-text" not in output
+    assert cluster.account_keys["buyer"] not in output
+
+
+def test_status_shows_histograms_and_what_is_in_force(cluster):
+    shown = cluster.command(
+        "status",
+        "--instances-url",
+        cluster.processes["instances"].url,
+        "--json",
+    )
+    rows = json.loads(shown.stdout)
+    offsets = {row["status"]["declarations"]["next_offset"] for row in rows}
+    entry = next(r for r in rows if r["instance"]["name"] == "entry-1")
+    metrics = {each["metric"] for each in entry["status"]["histograms"]}
+    assert len(rows) == 6
+    assert len(offsets) == 1
+    assert {"time_to_first_token", "whole_time"} <= metrics
+
+
+def test_a_graceful_stop_cuts_off_nothing(tmp_path):
+    plan = testing.Plan(declared=builders.declared(engines=1, apps=0))
+    with testing.Cluster(plan, tmp_path) as cluster:
+        url = cluster.entry_url() + builders.CHAT_PATH
+        with testing.stream(
+            url, builders.chat(tokens=60), cluster.headers("buyer")
+        ) as response:
+            response.readline()
+            cluster.terminate("entry-1")
+            cluster.terminate("agent-engine-1")
+            time.sleep(0.3)
+            refused = testing.ask(
+                url, "POST", builders.chat(), cluster.headers("buyer")
+            )
+            rest = response.read().decode()
+        assert refused.status == 503
+        assert refused.verdict == "not-run"
+        assert rest.strip().endswith("data: [DONE]")
+        assert cluster.processes["entry-1"].wait() == 0
+        assert cluster.processes["agent-engine-1"].wait() == 0
