--- a/libs/declarations/src/godwitdale_declarations/documents.py
+++ b/libs/declarations/src/godwitdale_declarations/documents.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Mapping
 import types
-from typing import Any, Union, get_args, get_origin
-
-import msgspec
+from typing import Any
+from typing import Union
+from typing import get_args
+from typing import get_origin
 
 from godwitdale_verdicts import exceptions
+import msgspec
 
 _MOST_SHOWN = 60
 
--- a/libs/declarations/src/godwitdale_declarations/objects.py
+++ b/libs/declarations/src/godwitdale_declarations/objects.py
@@ -4,7 +4,8 @@
 are errors, so that a misspelt field never silently means its default.
 """
 
-from typing import Annotated, Literal
+from typing import Annotated
+from typing import Literal
 
 import msgspec
 
--- a/libs/godwitdale/src/godwitdale/agent.py
+++ b/libs/godwitdale/src/godwitdale/agent.py
@@ -3,6 +3,14 @@
 import random
 from typing import Any
 
+from godwitdale_link import server as link_server
+from godwitdale_observe import histograms
+from godwitdale_observe import logs
+from godwitdale_observe import metrics as metrics_lib
+from godwitdale_platform import backend as backend_lib
+from godwitdale_platform import instances as instances_lib
+from godwitdale_platform import log as log_lib
+from godwitdale_verdicts import identifiers
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -14,14 +22,6 @@
 from godwitdale import membership as membership_lib
 from godwitdale import settings as settings_lib
 from godwitdale import tls
-from godwitdale_link import server as link_server
-from godwitdale_observe import histograms
-from godwitdale_observe import logs
-from godwitdale_observe import metrics as metrics_lib
-from godwitdale_platform import backend as backend_lib
-from godwitdale_platform import instances as instances_lib
-from godwitdale_platform import log as log_lib
-from godwitdale_verdicts import identifiers
 
 _MOST_ACCOUNT_HISTOGRAMS = 32
 _TICK_S = 0.25
--- a/libs/godwitdale/src/godwitdale/callers.py
+++ b/libs/godwitdale/src/godwitdale/callers.py
@@ -6,6 +6,14 @@
 from typing import Any
 import uuid
 
+from godwitdale_claims import records as claim_records
+from godwitdale_declarations import objects
+from godwitdale_declarations import selectors
+from godwitdale_declarations import view as view_lib
+from godwitdale_link import messages
+from godwitdale_platform import backend
+from godwitdale_routing import prefixes
+from godwitdale_verdicts import outcomes
 import klein
 import msgspec
 from twisted.web import server
@@ -15,14 +23,6 @@
 from godwitdale import limiting
 from godwitdale import problems
 from godwitdale import streaming
-from godwitdale_claims import records as claim_records
-from godwitdale_declarations import objects
-from godwitdale_declarations import selectors
-from godwitdale_declarations import view as view_lib
-from godwitdale_link import messages
-from godwitdale_platform import backend
-from godwitdale_routing import prefixes
-from godwitdale_verdicts import outcomes
 
 _CHAT_PATH = "/v1/chat/completions"
 _MODELS_PATH = "/v1/models"
@@ -54,7 +54,7 @@
 _chat_decoder = msgspec.json.Decoder(_Chat)
 
 
-class Refused(Exception):
+class RefusedError(Exception):
     """Ends the handling of a request with a refusal.
 
     Attributes:
@@ -68,8 +68,8 @@
 
 def _refuse(
     reason: outcomes.Reason, detail: str, retry_after_s: float | None = None
-) -> Refused:
-    return Refused(outcomes.not_run(reason, detail, retry_after_s))
+) -> RefusedError:
+    return RefusedError(outcomes.not_run(reason, detail, retry_after_s))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,6 +91,8 @@
     """A request whose body is refused as soon as it is too large."""
 
     most_body_bytes = 0
+    content: Any
+    channel: Any
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Is told the declared length before the body arrives."""
@@ -173,7 +175,7 @@
             if last_event:
                 return self._resume(request, trace, account, last_event)
             return self._run(request, trace, account)
-        except Refused as refused:
+        except RefusedError as refused:
             problems.respond(request, refused.refusal, trace)
             return None
 
@@ -246,7 +248,7 @@
             ) from error
         link = self._tools.fleet.link(after.endpoint)
         if link is None:
-            raise Refused(
+            raise RefusedError(
                 outcomes.may_have_run(
                     outcomes.Reason.ANSWER_LOST, "the endpoint is gone"
                 )
@@ -411,7 +413,7 @@
     if age_s < -_FUTURE_KEY_S:
         raise _refuse(outcomes.Reason.KEY_INVALID, "the key is from the future")
     if age_s > window_s:
-        raise Refused(
+        raise RefusedError(
             outcomes.may_have_run(
                 outcomes.Reason.KEY_EXPIRED,
                 f"the key is older than {window_s:.0f} s; what ran under it "
--- a/libs/godwitdale/src/godwitdale/claiming.py
+++ b/libs/godwitdale/src/godwitdale/claiming.py
@@ -3,14 +3,13 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
-from twisted.internet import defer
-from twisted.internet import task
-
 from godwitdale_claims import claimant as claimant_lib
 from godwitdale_claims import records
 from godwitdale_platform import log as log_lib
 from godwitdale_verdicts import exceptions
+import msgspec
+from twisted.internet import defer
+from twisted.internet import task
 
 _MOST_ENTRIES = 500
 _RETRY_S = 0.2
@@ -18,7 +17,7 @@
 _MOST_ANSWER_BYTES = 16 * 1024
 
 
-class LogDown(Exception):
+class LogDownError(Exception):
     """The log takes no claims; the request was not started."""
 
 
@@ -67,8 +66,8 @@
             patience_s: How long to wait; afterwards the claim is withdrawn.
 
         Raises:
-            LogDown: There was no decision in time. The caller must not start
-                the request.
+            LogDownError: There was no decision in time. The caller must not
+                start the request.
         """
         partition = self._partition(claim.key)
         deciding = partition.claim(claim)
@@ -77,7 +76,7 @@
             return await deciding
         except (defer.TimeoutError, defer.CancelledError) as error:
             partition.withdraw(claim.attempt)
-            raise LogDown from error
+            raise LogDownError from error
 
     async def wait_for_outcome(
         self, key: str, patience_s: float
--- a/libs/godwitdale/src/godwitdale/cli.py
+++ b/libs/godwitdale/src/godwitdale/cli.py
@@ -6,11 +6,22 @@
 import pathlib
 import signal
 import sys
-from typing import Annotated, Any
+from typing import Annotated
+from typing import Any
 
+from godwitdale_declarations import files
+from godwitdale_declarations import keys
+from godwitdale_declarations import selectors
+from godwitdale_declarations import view as view_lib
+from godwitdale_observe import logs
+from godwitdale_platform import instances as instances_lib
+from godwitdale_platform import log as log_lib
+from godwitdale_standins import launch
+from godwitdale_verdicts import exceptions
 import msgspec
 from twisted.internet import defer
 from twisted.internet import reactor as default_reactor
+from twisted.python import failure
 import typer
 
 from godwitdale import agent as agent_lib
@@ -20,15 +31,6 @@
 from godwitdale import publishing
 from godwitdale import settings as settings_lib
 from godwitdale import tables
-from godwitdale_declarations import files
-from godwitdale_declarations import keys
-from godwitdale_declarations import selectors
-from godwitdale_declarations import view as view_lib
-from godwitdale_observe import logs
-from godwitdale_platform import instances as instances_lib
-from godwitdale_platform import log as log_lib
-from godwitdale_standins import launch
-from godwitdale_verdicts import exceptions
 
 _PLATFORM_TIMEOUT_S = 5.0
 _MINUTES_PER_HOUR = 60
@@ -76,9 +78,13 @@
     reactor: Any = default_reactor
     failed: list[BaseException] = []
 
+    def note(reason: failure.Failure) -> None:
+        if reason.value is not None:
+            failed.append(reason.value)
+
     def start() -> None:
-        running = defer.ensureDeferred(work(reactor))
-        running.addErrback(lambda reason: failed.append(reason.value))
+        running: Any = defer.ensureDeferred(work(reactor))
+        running.addErrback(note)
         running.addBoth(lambda _: reactor.running and reactor.stop())
 
     reactor.callWhenRunning(start)
--- a/libs/godwitdale/src/godwitdale/demo.py
+++ b/libs/godwitdale/src/godwitdale/demo.py
@@ -4,6 +4,8 @@
 import pathlib
 from typing import Any
 
+from godwitdale_declarations import objects
+from godwitdale_verdicts import exceptions
 import msgspec
 import treq
 from twisted.internet import defer
@@ -11,8 +13,6 @@
 import uuid_utils
 
 from godwitdale import local
-from godwitdale_declarations import objects
-from godwitdale_verdicts import exceptions
 
 _DRAFTS = 8
 _BOOKINGS = 5
--- a/libs/godwitdale/src/godwitdale/entry.py
+++ b/libs/godwitdale/src/godwitdale/entry.py
@@ -4,6 +4,12 @@
 import random
 from typing import Any
 
+from godwitdale_observe import histograms
+from godwitdale_observe import logs
+from godwitdale_observe import metrics as metrics_lib
+from godwitdale_platform import instances as instances_lib
+from godwitdale_platform import log as log_lib
+from godwitdale_verdicts import identifiers
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -17,12 +23,6 @@
 from godwitdale import membership as membership_lib
 from godwitdale import settings as settings_lib
 from godwitdale import tls
-from godwitdale_observe import histograms
-from godwitdale_observe import logs
-from godwitdale_observe import metrics as metrics_lib
-from godwitdale_platform import instances as instances_lib
-from godwitdale_platform import log as log_lib
-from godwitdale_verdicts import identifiers
 
 _MOST_ACCOUNT_HISTOGRAMS = 64
 _TICK_S = 0.5
--- a/libs/godwitdale/src/godwitdale/execution.py
+++ b/libs/godwitdale/src/godwitdale/execution.py
@@ -4,10 +4,6 @@
 import dataclasses
 from typing import Any
 
-from twisted.internet import defer
-
-from godwitdale import claiming
-from godwitdale import feed as feed_lib
 from godwitdale_claims import claimant as claimant_lib
 from godwitdale_claims import records as claim_records
 from godwitdale_link import messages
@@ -21,8 +17,12 @@
 from godwitdale_routing import queueing
 from godwitdale_verdicts import identifiers
 from godwitdale_verdicts import outcomes
+from twisted.internet import defer
 import xxhash
 
+from godwitdale import claiming
+from godwitdale import feed as feed_lib
+
 _RATE_TIME_CONSTANT_S = 5.0
 _MOST_RATES = 2048
 _MOST_REPORTED_ACCOUNTS = 16
@@ -348,7 +348,7 @@
         patience_s = submit.deadline_s * _CLAIM_PATIENCE_SHARE
         try:
             decision = await self._parts.claims.claim(claim, patience_s)
-        except claiming.LogDown:
+        except claiming.LogDownError:
             if not work.revoked:
                 self._refuse(
                     work,
--- a/libs/godwitdale/src/godwitdale/fleet.py
+++ b/libs/godwitdale/src/godwitdale/fleet.py
@@ -3,10 +3,6 @@
 import random
 from typing import Any
 
-from godwitdale import feed as feed_lib
-from godwitdale import membership as membership_lib
-from godwitdale import settings as settings_lib
-from godwitdale import tls
 from godwitdale_declarations import objects
 from godwitdale_declarations import selectors
 from godwitdale_link import client
@@ -16,6 +12,11 @@
 from godwitdale_routing import prefixes
 from godwitdale_routing import subsets
 
+from godwitdale import feed as feed_lib
+from godwitdale import membership as membership_lib
+from godwitdale import settings as settings_lib
+from godwitdale import tls
+
 _PREFIX_BLOCKS = 50_000
 
 
--- a/libs/godwitdale/src/godwitdale/lifecycle.py
+++ b/libs/godwitdale/src/godwitdale/lifecycle.py
@@ -1,10 +1,10 @@
 """The life of a daemon: starting, ready, draining, stopped."""
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
+from typing import Protocol
 
 import automat
-
 from godwitdale_observe import logs
 
 _CHECK_S = 0.05
--- a/libs/godwitdale/src/godwitdale/local.py
+++ b/libs/godwitdale/src/godwitdale/local.py
@@ -7,12 +7,6 @@
 import pathlib
 from typing import Any
 
-from twisted.internet import task
-
-from godwitdale import agent as agent_lib
-from godwitdale import entry as entry_lib
-from godwitdale import publishing
-from godwitdale import settings as settings_lib
 from godwitdale_declarations import files
 from godwitdale_declarations import keys
 from godwitdale_declarations import objects
@@ -24,6 +18,12 @@
 from godwitdale_standins import log_service
 from godwitdale_standins import plain_app
 from godwitdale_verdicts import exceptions
+from twisted.internet import task
+
+from godwitdale import agent as agent_lib
+from godwitdale import entry as entry_lib
+from godwitdale import publishing
+from godwitdale import settings as settings_lib
 
 HOST = "127.0.0.1"
 _ENTRIES = 2
--- a/libs/godwitdale/src/godwitdale/membership.py
+++ b/libs/godwitdale/src/godwitdale/membership.py
@@ -1,13 +1,13 @@
 """Which instances there are, by the platform's lagging list."""
 
+import contextlib
 import random
 from typing import Any
 
-from twisted.internet import defer
-from twisted.internet import task
-
 from godwitdale_platform import instances as instances_lib
 from godwitdale_verdicts import exceptions
+from twisted.internet import defer
+from twisted.internet import task
 
 _JITTER = 0.2
 
@@ -68,10 +68,8 @@
     async def run(self) -> None:
         """Polls the list until ``stop``."""
         while not self._stopped:
-            try:
+            with contextlib.suppress(exceptions.PlatformUnavailableError):
                 self.take(await self._source.fetch())
-            except exceptions.PlatformUnavailableError:
-                pass
             await self._sleep()
 
     def stop(self) -> None:
--- a/libs/godwitdale/src/godwitdale/problems.py
+++ b/libs/godwitdale/src/godwitdale/problems.py
@@ -3,9 +3,8 @@
 import math
 from typing import Any
 
-import msgspec
-
 from godwitdale_verdicts import outcomes
+import msgspec
 
 CONTENT_TYPE = "application/problem+json"
 VERDICT_HEADER = "Godwitdale-Verdict"
--- a/libs/godwitdale/src/godwitdale/settings.py
+++ b/libs/godwitdale/src/godwitdale/settings.py
@@ -2,13 +2,15 @@
 
 import ipaddress
 import pathlib
-from typing import Annotated, Any, Literal, TypeVar
-
-import msgspec
+from typing import Annotated
+from typing import Any
+from typing import Literal
+from typing import TypeVar
 
 from godwitdale_declarations import documents
 from godwitdale_declarations import objects
 from godwitdale_verdicts import exceptions
+import msgspec
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 Url = Annotated[str, msgspec.Meta(pattern=r"^https?://[^/]+/?$")]
--- a/libs/godwitdale/src/godwitdale/testing.py
+++ b/libs/godwitdale/src/godwitdale/testing.py
@@ -20,10 +20,9 @@
 from typing import Any
 import urllib.parse
 
-import msgspec
-
 from godwitdale_declarations import keys
 from godwitdale_declarations import objects
+import msgspec
 
 HOST = "127.0.0.1"
 _START_S = 30.0
--- a/libs/godwitdale/src/godwitdale/tls.py
+++ b/libs/godwitdale/src/godwitdale/tls.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable
 import pathlib
-from typing import Any, Generic, TypeVar
+from typing import Any
+from typing import Generic
+from typing import TypeVar
 
 from OpenSSL import SSL
 from twisted.internet import endpoints
--- a/libs/link/src/godwitdale_link/client.py
+++ b/libs/link/src/godwitdale_link/client.py
@@ -7,9 +7,13 @@
 
 from collections.abc import Callable
 import dataclasses
-from typing import Any, Protocol
+from typing import Any
+from typing import Protocol
 
 import automat
+from godwitdale_verdicts import identifiers
+from godwitdale_verdicts import outcomes
+from godwitdale_verdicts import verdict as verdict_lib
 from msgspec import structs
 from twisted.internet import error
 from twisted.internet import interfaces
@@ -19,9 +23,6 @@
 from godwitdale_link import answers
 from godwitdale_link import framing
 from godwitdale_link import messages
-from godwitdale_verdicts import identifiers
-from godwitdale_verdicts import outcomes
-from godwitdale_verdicts import verdict as verdict_lib
 
 
 class Receiver(Protocol):
@@ -141,7 +142,14 @@
         """The link is not needed any more."""
 
 
-_builder = automat.TypeMachineBuilder(_MachineInputs, Callable[[], None])
+class _Opener:
+    """Core of the state machine: opens connections."""
+
+    def __init__(self, open_connection: Callable[[], None]) -> None:
+        self.open_connection = open_connection
+
+
+_builder = automat.TypeMachineBuilder(_MachineInputs, _Opener)
 _idle = _builder.state("idle")
 _connecting = _builder.state("connecting")
 _open = _builder.state("open")
@@ -151,8 +159,8 @@
 
 @_idle.upon(_MachineInputs.wanted).to(_connecting)
 @_waiting.upon(_MachineInputs.wanted).to(_connecting)
-def _start_connecting(inputs: Any, core: Callable[[], None]) -> None:
-    core()
+def _start_connecting(inputs: _MachineInputs, core: _Opener) -> None:
+    core.open_connection()
 
 
 _connecting.upon(_MachineInputs.wanted).loop().returns(None)
@@ -226,7 +234,7 @@
         self._has_failed = False
         self._timer: Any = None
         self._connecting: Any = None
-        self._machine = _Machine(self._open_connection)
+        self._machine = _Machine(_Opener(self._open_connection))
 
     @property
     def is_open(self) -> bool:
--- a/libs/link/src/godwitdale_link/messages.py
+++ b/libs/link/src/godwitdale_link/messages.py
@@ -3,9 +3,8 @@
 All times are durations in seconds: the two ends share no clock.
 """
 
-import msgspec
-
 from godwitdale_verdicts import identifiers
+import msgspec
 
 PROTOCOL_VERSION = 1
 MOST_FRAME_BYTES = 16 * 1024 * 1024
--- a/libs/link/src/godwitdale_link/server.py
+++ b/libs/link/src/godwitdale_link/server.py
@@ -3,8 +3,11 @@
 import collections
 from collections.abc import Callable
 import dataclasses
-from typing import Any, Protocol
+from typing import Any
+from typing import Protocol
 
+from godwitdale_verdicts import identifiers
+from godwitdale_verdicts import outcomes
 import msgspec
 from twisted.internet import protocol
 from twisted.python import failure
@@ -12,8 +15,6 @@
 from godwitdale_link import answers
 from godwitdale_link import framing
 from godwitdale_link import messages
-from godwitdale_verdicts import identifiers
-from godwitdale_verdicts import outcomes
 
 _MOST_REMEMBERED_IDS = 50_000
 
--- a/libs/platform/src/godwitdale_platform/backend.py
+++ b/libs/platform/src/godwitdale_platform/backend.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 import dataclasses
 import io
-from typing import Any, Protocol
+from typing import Any
+from typing import Protocol
 
 import msgspec
 import treq
@@ -122,7 +123,7 @@
         """Closes the connection to the endpoint."""
         transport: Any = self.transport
         if transport is not None:
-            transport.abortConnection()
+            transport.loseConnection()
 
 
 class Backend:
--- a/libs/platform/src/godwitdale_platform/instances.py
+++ b/libs/platform/src/godwitdale_platform/instances.py
@@ -3,13 +3,13 @@
 ``GET /instances`` returns a JSON list of ``Instance``.
 """
 
-from typing import Any, Literal
+from typing import Any
+from typing import Literal
 
+from godwitdale_verdicts import exceptions
 import msgspec
 import treq
 
-from godwitdale_verdicts import exceptions
-
 _OK = 200
 
 
--- a/libs/routing/src/godwitdale_routing/queueing.py
+++ b/libs/routing/src/godwitdale_routing/queueing.py
@@ -4,7 +4,8 @@
 import dataclasses
 import heapq
 import itertools
-from typing import Generic, TypeVar
+from typing import Generic
+from typing import TypeVar
 
 Item = TypeVar("Item")
 
--- a/libs/standins/src/godwitdale_standins/engine.py
+++ b/libs/standins/src/godwitdale_standins/engine.py
@@ -13,7 +13,6 @@
 import msgspec
 from twisted.internet import defer
 from twisted.internet import reactor as default_reactor
-from twisted.internet import task
 
 _BLOCK_BYTES = 512
 _BYTES_PER_TOKEN = 4
--- a/libs/standins/src/godwitdale_standins/relay.py
+++ b/libs/standins/src/godwitdale_standins/relay.py
@@ -10,8 +10,10 @@
 
 import klein
 import msgspec
+from twisted.internet import protocol
 from twisted.internet import reactor as default_reactor
 from twisted.protocols import portforward
+from twisted.python import failure
 
 
 class _Route(msgspec.Struct):
@@ -22,6 +24,8 @@
 class _Incoming(portforward.ProxyServer):
     """One relayed connection."""
 
+    factory: "_Factory"
+    transport: Any
     is_silent = False
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -35,15 +39,29 @@
         if not self.is_silent:
             super().dataReceived(data)
 
-    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
         self.factory.relay.connections.discard(self)
         super().connectionLost(reason)
 
     def silence(self) -> None:
         """Passes nothing on any more, in either direction."""
         self.is_silent = True
-        if self.peer is not None:
-            self.peer.dataReceived = lambda data: None
+        peer: Any = self.peer
+        if peer is not None:
+            peer.dataReceived = lambda data: None
+
+
+class _Factory(portforward.ProxyFactory):
+    """Makes relayed connections towards one target."""
+
+    protocol = _Incoming
+    noisy = False
+
+    def __init__(self, relay: "Relay", host: str, port: int) -> None:
+        super().__init__(host, port)
+        self.relay = relay
 
 
 class Relay:
@@ -70,11 +88,8 @@
     def add_route(self, request: Any) -> bytes:
         """Opens a port that leads to the target in the body."""
         target = msgspec.json.decode(request.content.read(), type=_Route)
-        factory = portforward.ProxyFactory(target.host, target.port)
-        factory.protocol = _Incoming
-        factory.noisy = False
-        factory.relay = self
-        port = self._reactor.listenTCP(0, factory, interface="127.0.0.1")
+        factory: Any = _Factory(self, target.host, target.port)
+        port: Any = self._reactor.listenTCP(0, factory, interface="127.0.0.1")
         return msgspec.json.encode({"port": port.getHost().port})
 
     @app.route("/silence", methods=["POST"])
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,5 @@
 """Settings that hold for all tests."""
 
-
 import hypothesis
 
 hypothesis.settings.register_profile(
--- a/tests/system/test_path.py
+++ b/tests/system/test_path.py
@@ -3,10 +3,9 @@
 import json
 import time
 
-import pytest
-
 import builders
 from godwitdale import testing
+import pytest
 
 
 @pytest.fixture(scope="module")
