--- a/libs/experts/src/godwitdale_experts/switch.py
+++ b/libs/experts/src/godwitdale_experts/switch.py
@@ -87,7 +87,9 @@
 ) -> RankState:
     """Returns the state of a replaced rank that has read the log's head.
 
-    It is bound by whatever its former life may have promised.
+    It is bound by whatever its former life may have promised. Where the group
+    is past the switch step without a decision, the former life cannot have
+    promised, and neither does this one.
 
     Args:
         current_map: Map of the group before the proposal.
@@ -99,7 +101,8 @@
         return RankState(current_map)
     if decision is Decision.COMMIT and next_step > proposal.step:
         return RankState(proposal.new_map)
-    if decision is Decision.ABORT:
+    is_past = next_step > proposal.step
+    if decision is Decision.ABORT or (decision is None and is_past):
         return RankState(current_map)
     return RankState(current_map, proposal, decision)
 
