--- a/libs/godwitdale/src/godwitdale/fleet.py
+++ b/libs/godwitdale/src/godwitdale/fleet.py
@@ -18,6 +18,7 @@
 from godwitdale import tls
 
 _PREFIX_BLOCKS = 50_000
+_PEERS = 3
 
 
 class Fleet:
@@ -106,11 +107,10 @@
         """Opens links to the agents that requests are likely to need."""
         if self._is_closed:
             return
-        for selector in self._feed.view.selectors:
-            for name in self._subset(selector):
-                link = self.link(name)
-                if link is not None:
-                    link.open()
+        for name in self._wanted():
+            link = self.link(name)
+            if link is not None:
+                link.open()
         for name in list(self._links):
             if name not in self._members.agents and not self._busy(name):
                 self._drop(name)
@@ -200,6 +200,21 @@
         self._tracked[endpoint] = self._new_tracked(endpoint)
         self.prefix_index.forget(endpoint)
 
+    def _wanted(self) -> set[str]:
+        """Returns the endpoints to keep links to.
+
+        While nothing is declared yet, as after a start during an outage of
+        the log, a few agents serve as peers to learn the declarations from.
+        """
+        if not self._feed.is_started:
+            agents = self._members.agents
+            return set(subsets.subset(self._own.name, agents, _PEERS))
+        return {
+            name
+            for selector in self._feed.view.selectors
+            for name in self._subset(selector)
+        }
+
     def _subset(self, selector: objects.Selector) -> list[str]:
         matching = [
             endpoint.name
--- a/libs/standins/src/godwitdale_standins/instance_list.py
+++ b/libs/standins/src/godwitdale_standins/instance_list.py
@@ -13,10 +13,12 @@
 
     Attributes:
         lag_s: How old the list is that readers see.
+        frozen: Readers see the list as it was when this was set.
         down: Every read is answered 503.
     """
 
     lag_s: float = 0.0
+    frozen: bool = False
     down: bool = False
 
 
@@ -42,6 +44,7 @@
             collections.deque(maxlen=4096)
         )
         self._note()
+        self._frozen = self._history[-1][1]
 
     @app.route("/faults", methods=["GET", "POST"])
     def set_faults(self, request: Any) -> bytes:
@@ -49,6 +52,7 @@
         if request.method == b"POST":
             body = request.content.read()
             self.faults = msgspec.json.decode(body, type=InstanceListFaults)
+            self._frozen = self._history[-1][1]
         return msgspec.json.encode(self.faults)
 
     @app.route("/instances/<name>", methods=["PUT"])
@@ -70,6 +74,8 @@
         if self.faults.down:
             request.setResponseCode(503)
             return b""
+        if self.faults.frozen:
+            return self._frozen
         asked_s = self._reactor.seconds() - self.faults.lag_s
         found = self._history[0][1]
         for noted_s, listed in self._history:
--- a/libs/standins/src/godwitdale_standins/plain_app.py
+++ b/libs/standins/src/godwitdale_standins/plain_app.py
@@ -8,6 +8,7 @@
 
 import klein
 import msgspec
+from twisted.internet import defer
 from twisted.internet import reactor as default_reactor
 from twisted.internet import task
 
@@ -70,6 +71,13 @@
             own = [e for e in self.effects if e["account"] == account]
             return msgspec.json.encode({"app": self._name, "orders": own})
         body = request.content.read().decode("utf-8", "replace")
+        # A caller that goes away does not undo what has begun.
+        done: defer.Deferred[bytes] = defer.Deferred()
+        booking = defer.ensureDeferred(self._book(request, account, body))
+        booking.addCallback(lambda answer: done.called or done.callback(answer))
+        return await done
+
+    async def _book(self, request: Any, account: str, body: str) -> bytes:
         await self._wait(self.faults.slow_s)
         number = len(self.effects) + 1
         self.effects.append(
--- a/tests/model/claims.py
+++ b/tests/model/claims.py
@@ -100,9 +100,9 @@
         withdrawn = _send(_phase(state, index, "withdrawn"), "void", index)
         withdrawn = _send(withdrawn, "release", index)
         yield f"{attempt} is withdrawn", _not_run(withdrawn, index)
-    if phase == "withdrawn" and "withdrawn" in removed:
-        if _fold(state.log).holder == attempt:
-            yield f"{attempt} wins late", _phase(state, index, "won")
+    may_forget = phase == "withdrawn" and "withdrawn" in removed
+    if may_forget and _fold(state.log).holder == attempt:
+        yield f"{attempt} wins late", _phase(state, index, "won")
 
 
 def _deciding(state, index, attempt, removed):
