--- a/libs/experts/src/godwitdale_experts/placement.py
+++ b/libs/experts/src/godwitdale_experts/placement.py
@@ -16,6 +16,7 @@
 Placement = npt.NDArray[np.int8]
 
 _LEAST_LOAD = 1e-12
+_STRAGGLER_SHARE = 0.7
 _CANDIDATE_EXPERTS = 4
 _CANDIDATE_RANKS = 6
 
@@ -109,13 +110,46 @@
 
 
 def plan(load: Floats, speed: Floats, shape: Shape) -> Placement:
-    """Plans a placement from nothing: replicate, then largest first.
+    """Plans a placement from nothing.
+
+    Stragglers get only further replicas of experts that the other ranks carry
+    already: a replica on a slow rank takes few tokens, so that an expert that
+    relied on it would hold back all the ranks that share it.
 
     Args:
         load: Tokens for each expert, shape ``(experts,)``.
         speed: Speed of each rank, shape ``(ranks,)``.
         shape: Size of the group.
     """
+    is_slow = speed < _STRAGGLER_SHARE * float(np.median(speed))
+    fast = np.flatnonzero(~is_slow)
+    if len(fast) * shape.slots < shape.experts:
+        return _plan_alike(load, speed, shape)
+    placement = np.zeros((shape.ranks, shape.experts), dtype=np.int8)
+    fast_shape = Shape(len(fast), shape.experts, shape.slots)
+    placement[fast] = _plan_alike(load, speed[fast], fast_shape)
+    for rank in np.flatnonzero(is_slow):
+        _fill_straggler(placement, load, speed, shape, int(rank))
+    return placement
+
+
+def _fill_straggler(
+    placement: Placement, load: Floats, speed: Floats, shape: Shape, rank: int
+) -> None:
+    """Gives a straggler the busiest experts that do not hold it back."""
+    budget = float(rank_times(placement, load, speed).mean())
+    replicas_speed = placement.T @ speed
+    cost = load / (replicas_speed + speed[rank])
+    for expert in np.argsort(-cost, kind="stable"):
+        if placement[rank].sum() >= shape.slots:
+            return
+        if cost[expert] <= budget:
+            placement[rank, expert] = 1
+            budget -= float(cost[expert])
+
+
+def _plan_alike(load: Floats, speed: Floats, shape: Shape) -> Placement:
+    """Plans for ranks of about equal speed: replicate, largest first."""
     counts = replica_counts(load, shape)
     share = load / counts
     placement = np.zeros((shape.ranks, shape.experts), dtype=np.int8)
--- /dev/null
+++ b/tests/unit/test_files.py
@@ -0,0 +1,180 @@
+"""Settings and declaration files, and what is said of wrong ones."""
+
+import json
+import pathlib
+
+from godwitdale import settings
+from godwitdale_declarations import files
+from godwitdale_declarations import keys
+from godwitdale_declarations import objects
+from godwitdale_declarations import selectors
+from godwitdale_declarations import view
+from godwitdale_verdicts import exceptions
+import pytest
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+ENTRY = {
+    "name": "entry-1",
+    "zone": "z",
+    "listen": {"host": "127.0.0.1", "port": 0},
+    "admin": {"host": "127.0.0.1", "port": 0},
+    "platform": {
+        "log_url": "http://127.0.0.1:1",
+        "instances_url": "http://127.0.0.1:2",
+    },
+}
+
+
+def load_entry(tmp_path, **changes):
+    file = tmp_path / "entry.json"
+    file.write_text(json.dumps({**ENTRY, **changes}))
+    return settings.load(file, settings.Entry)
+
+
+def test_settings_show_their_defaults(tmp_path):
+    shown = json.loads(settings.show(load_entry(tmp_path)))
+    assert shown["subset_size"] == 64
+    assert shown["heartbeat"]["interval_s"] == 1.0
+
+
+def test_all_faults_of_a_settings_file_are_told_at_once(tmp_path):
+    with pytest.raises(exceptions.InvalidFileError) as caught:
+        load_entry(
+            tmp_path,
+            listen={"host": "localhost", "port": 70_000},
+            subset_sise=3,
+            most_attempts=0,
+            peer_tls={"certificate": "/no/such", "key": "k"},
+        )
+    shown = caught.value.show()
+    assert caught.value.exit_code == 2
+    for part in (
+        "$.listen.host: found 'localhost'; expected an IP number",
+        "$.listen.port: found 70000",
+        "$.subset_sise: found unknown field",
+        "$.most_attempts: found 0",
+        "$.peer_tls.authority: found nothing",
+        "$.peer_tls.certificate: found '/no/such'",
+    ):
+        assert part in shown
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", '"x"'])
+def test_a_settings_file_that_is_no_object_is_refused(tmp_path, text):
+    file = tmp_path / "bad.json"
+    file.write_text(text)
+    with pytest.raises(exceptions.InvalidFileError):
+        settings.load(file, settings.Agent)
+
+
+@pytest.mark.parametrize("name", ["kelantan.json", "kochi.json"])
+def test_the_examples_have_no_faults(name):
+    assert files.load(name, (EXAMPLES / name).read_bytes())
+
+
+def test_all_faults_of_a_declaration_file_are_told_at_once():
+    document = {
+        "schema": 1,
+        "objects": [
+            {"type": "account", "name": "bad name"},
+            {"type": "acount", "name": "a"},
+            {"type": "work", "name": "w", "priority": 12, "deadline": 3},
+        ],
+    }
+    with pytest.raises(exceptions.InvalidFileError) as caught:
+        files.load("d.json", json.dumps(document).encode())
+    paths = [fault.path for fault in caught.value.faults]
+    assert paths == [
+        "$.objects[0].name",
+        "$.objects[1].type",
+        "$.objects[2].deadline",
+        "$.objects[2].priority",
+    ]
+
+
+def test_a_selector_must_name_declared_work_and_known_attributes():
+    condition = {"attribute": "colour", "op": "exists"}
+    selector = {
+        "type": "selector",
+        "name": "s",
+        "work": "missing",
+        "endpoints": [condition],
+        "when": [condition],
+    }
+    document = {"schema": 1, "objects": [selector, selector]}
+    with pytest.raises(exceptions.InvalidFileError) as caught:
+        files.load("d.json", json.dumps(document).encode())
+    paths = {fault.path for fault in caught.value.faults}
+    assert "$.objects[0].work" in paths
+    assert "$.objects[0].when[0].attribute" in paths
+    assert "$.objects[1].name" in paths
+
+
+def request(**changes):
+    values = {
+        "account": "desk",
+        "account_labels": {"kind": "desk"},
+        "method": "POST",
+        "path": "/v1/chat/completions",
+        "model": "m",
+        "headers": {"x-task": "note"},
+        "minute_of_day": 10 * 60,
+    }
+    return selectors.Request(**{**values, **changes})
+
+
+@pytest.mark.parametrize(
+    ("attribute", "op", "values", "negate", "holds"),
+    [
+        ("path", "equals", ["/v1/chat/completions"], False, True),
+        ("path", "prefix", ["/v1/"], False, True),
+        ("model", "in", ["x", "m"], False, True),
+        ("account", "equals", ["desk"], True, False),
+        ("header:X-Task", "exists", [], False, True),
+        ("header:other", "exists", [], True, True),
+        ("account-label:kind", "in", ["buyer"], False, False),
+        ("time", "within", ["09:00-11:00"], False, True),
+        ("time", "within", ["22:00-06:00"], False, False),
+        ("time", "within", ["23:00-10:30"], False, True),
+    ],
+)
+def test_conditions(attribute, op, values, negate, holds):
+    condition = objects.Condition(attribute, op, values, negate)
+    assert selectors.condition_holds(condition, request()) == holds
+
+
+def test_the_selector_with_the_highest_precedence_binds_and_is_explained():
+    endpoints = [objects.Condition("role", "exists")]
+    low = objects.Selector(name="low", work="w", endpoints=endpoints)
+    high = objects.Selector(
+        name="high", work="w", endpoints=endpoints, precedence=5
+    )
+    picky = objects.Selector(
+        name="picky",
+        work="w",
+        endpoints=endpoints,
+        precedence=9,
+        when=[objects.Condition("model", "equals", ["other"])],
+    )
+    ordered = selectors.order([low, high, picky])
+    assert selectors.bind(ordered, request()) == high
+    whys = {
+        each.selector.name: each.why
+        for each in selectors.explain(ordered, request())
+    }
+    assert whys["picky"] == "model equals other does not hold"
+    assert "high comes first" in whys["low"]
+
+
+def test_an_account_may_hold_two_keys_and_no_other_opens_it():
+    first, declared_first = keys.generate("desk-1")
+    second, declared_second = keys.generate("desk-2")
+    account = objects.Account(
+        name="desk", keys=[declared_first, declared_second]
+    )
+    made = view.View([account])
+    assert made.authenticate(first) == account
+    assert made.authenticate(second) == account
+    assert made.authenticate(first + "x") is None
+    assert made.authenticate("desk-1.") is None
+    assert first not in str(account)
--- /dev/null
+++ b/tests/unit/test_routing.py
@@ -0,0 +1,185 @@
+"""Choice, health, limits, retries and subsets."""
+
+import random
+
+from godwitdale_routing import attempts
+from godwitdale_routing import choice
+from godwitdale_routing import health
+from godwitdale_routing import limits
+from godwitdale_routing import prefixes
+from godwitdale_routing import retries
+from godwitdale_routing import subsets
+from godwitdale_verdicts import outcomes
+import pytest
+
+LOST = outcomes.may_have_run(outcomes.Reason.ENDPOINT_LOST, "lost")
+UNSENT = outcomes.not_run(outcomes.Reason.ENDPOINT_LOST, "unsent")
+
+
+def situation(**changes):
+    values = {
+        "repeatable": False,
+        "keyed": attempts.Keyed.NO,
+        "answer_begun": False,
+        "in_doubt": False,
+        "attempts": 1,
+        "most_attempts": 3,
+        "time_left_s": 5.0,
+    }
+    return attempts.Situation(**{**values, **changes})
+
+
+@pytest.mark.parametrize(
+    ("refusal", "changes", "tries_again"),
+    [
+        (UNSENT, {}, True),
+        (LOST, {}, False),
+        (LOST, {"repeatable": True}, True),
+        (LOST, {"keyed": attempts.Keyed.YES}, True),
+        (LOST, {"repeatable": True, "answer_begun": True}, False),
+        (UNSENT, {"attempts": 3}, False),
+        (UNSENT, {"time_left_s": 0.0}, False),
+    ],
+)
+def test_work_is_tried_again_only_where_that_is_safe(
+    refusal, changes, tries_again
+):
+    budget = retries.RetryBudget(0.1, 10)
+    step = attempts.after_failure(refusal, situation(**changes), budget)
+    assert isinstance(step, attempts.TryAgain) == tries_again
+
+
+def test_not_run_is_not_said_after_an_attempt_in_doubt():
+    budget = retries.RetryBudget(0.0, 0)
+    step = attempts.after_failure(UNSENT, situation(in_doubt=True), budget)
+    assert step.refusal.verdict.value == "may-have-run"
+
+
+def test_retries_are_a_share_of_requests_when_everything_fails():
+    budget = retries.RetryBudget(0.1, 5)
+    made = 0
+    for _ in range(1000):
+        budget.request()
+        while budget.take():
+            made += 1
+    assert made <= 5 + 0.1 * 1000
+
+
+def test_backoff_grows_within_its_bound():
+    rng = random.Random(1)
+    delays = [retries.backoff_s(n, 0.1, 2.0, rng) for n in range(1, 30)]
+    assert max(delays) <= 2.0
+    assert max(delays[:2]) <= 0.2
+
+
+def tracked(name, zone="z", **report):
+    made = choice.Tracked(name, zone, now_s=-100.0)
+    made.report = choice.LoadReport(**report)
+    return made
+
+
+def test_the_less_loaded_of_two_is_chosen():
+    chooser = choice.TwoChoices(random.Random(1))
+    busy = tracked("busy", running=8, queued=20, slots=8)
+    idle = tracked("idle", running=1, slots=8)
+    chosen = {chooser.choose([busy, idle], choice.Ask(), 0).name}
+    assert chosen == {"idle"}
+
+
+def test_a_warm_prefix_wins_only_while_it_pays():
+    chooser = choice.TwoChoices(random.Random(1))
+    others = [tracked(f"cold-{n}", slots=8) for n in range(5)]
+    warm = tracked("warm", slots=8)
+    ask = choice.Ask(prompt_tokens=4000, cached_tokens={"warm": 3900})
+    assert chooser.choose([*others, warm], ask, 0).name == "warm"
+    warm.report = choice.LoadReport(running=8, queued=40, slots=8)
+    assert chooser.choose([*others, warm], ask, 0).name != "warm"
+
+
+def test_what_was_sent_since_the_report_counts():
+    first, second = tracked("a", slots=4), tracked("b", slots=4)
+    chooser = choice.TwoChoices(random.Random(1))
+    for _ in range(8):
+        chooser.choose([first, second], choice.Ask(), 0).sent += 1
+    assert abs(first.sent - second.sent) <= 4
+
+
+def test_an_endpoint_that_fails_fast_is_ejected_for_longer_each_time():
+    each = health.Health(since_s=0.0)
+    terms = []
+    now_s = 0.0
+    for _ in range(3):
+        for _ in range(3):
+            each.failed(now_s)
+        terms.append(each.ejected_until_s - now_s)
+        now_s = each.ejected_until_s
+    assert terms == sorted(terms)
+    assert terms[0] < terms[-1]
+
+
+def test_ejection_keeps_a_floor():
+    healths = {f"e{n}": health.Health(since_s=0.0) for n in range(6)}
+    for each in healths.values():
+        for _ in range(3):
+            each.failed(0.0)
+    usable = health.usable(healths, now_s=1.0, ejected_share=0.5)
+    assert len(usable) == 3
+
+
+def test_a_new_endpoint_starts_slowly():
+    each = health.Health(since_s=0.0)
+    assert each.ramp(0.0) < each.ramp(5.0) < each.ramp(10.0) == 1.0
+
+
+@pytest.mark.parametrize("entries", [2, 8, 64])
+def test_a_limit_holds_over_many_entries(entries):
+    limit_per_s = 200.0
+    shares = [
+        limits.AccountLimit(limit_per_s, 1.0, entries, 5.0, 0.0)
+        for _ in range(entries)
+    ]
+    total = limits.DecayingCount(5.0, 0.0)
+    rng = random.Random(entries)
+    admitted = 0
+    for tick in range(4000):
+        now_s = tick * 0.01
+        for _ in range(4):
+            # Half of all traffic comes through the first entry.
+            index = 0 if rng.random() < 0.5 else rng.randrange(entries)
+            if shares[index].take(now_s) == 0:
+                weight = shares[index].offered_per_admitted(now_s)
+                total.add(weight, now_s)
+                admitted += tick >= 2000
+        if tick % 50 == 0:
+            for each in shares:
+                each.correct(total.rate_per_s(now_s), entries, now_s)
+    assert admitted / 20 == pytest.approx(limit_per_s, rel=0.25)
+
+
+def test_a_subset_changes_little_when_an_endpoint_leaves():
+    names = [f"e{n}" for n in range(100)]
+    before = subsets.subset("entry-1", names, 10)
+    after = subsets.subset("entry-1", [n for n in names if n != before[0]], 10)
+    assert len(set(before) & set(after)) == 9
+
+
+def test_subsets_spread_the_entries_over_the_endpoints():
+    names = [f"e{n}" for n in range(50)]
+    counts = dict.fromkeys(names, 0)
+    for entry in range(100):
+        for name in subsets.subset(f"entry-{entry}", names, 10):
+            counts[name] += 1
+    assert min(counts.values()) > 0
+    assert max(counts.values()) < 45
+
+
+def test_prefixes_are_found_up_to_the_first_difference():
+    index = prefixes.PrefixIndex(1000)
+    prompt = b"a" * prefixes.BLOCK_BYTES * 3
+    other = prompt[: prefixes.BLOCK_BYTES] + b"b" * prefixes.BLOCK_BYTES * 2
+    index.stored("e1", prefixes.blocks_of(prompt))
+    tokens = prefixes.BLOCK_BYTES // prefixes.BYTES_PER_TOKEN
+    blocks = prefixes.blocks_of(other)
+    assert index.cached_tokens(blocks) == {"e1": tokens}
+    index.forget("e1")
+    assert index.cached_tokens(blocks) == {}
