--- a/libs/godwitdale/src/godwitdale/cli.py
+++ b/libs/godwitdale/src/godwitdale/cli.py
@@ -1,7 +1,5 @@
 """The command line."""
 
-from collections.abc import Callable
-from collections.abc import Coroutine
 import getpass
 import pathlib
 import signal
@@ -19,18 +17,17 @@
 from godwitdale_standins import launch
 from godwitdale_verdicts import exceptions
 import msgspec
-from twisted.internet import defer
 from twisted.internet import reactor as default_reactor
-from twisted.python import failure
 import typer
 
 from godwitdale import agent as agent_lib
-from godwitdale import bench
 from godwitdale import demo as demo_lib
 from godwitdale import entry as entry_lib
 from godwitdale import publishing
+from godwitdale import running
 from godwitdale import settings as settings_lib
 from godwitdale import tables
+from godwitdale.bench import commands
 
 _PLATFORM_TIMEOUT_S = 5.0
 _MINUTES_PER_HOUR = 60
@@ -45,7 +42,7 @@
     no_args_is_help=True,
     pretty_exceptions_enable=False,
 )
-app.add_typer(bench.app, name="bench")
+app.add_typer(commands.app, name="bench")
 
 SettingsFile = Annotated[
     pathlib.Path, typer.Argument(help="Settings of the daemon, JSON.")
@@ -69,30 +66,6 @@
     sys.stdout.flush()
 
 
-def run_async(work: Callable[[Any], Coroutine[Any, Any, None]]) -> None:
-    """Runs a coroutine on the reactor and raises what it raises.
-
-    Args:
-        work: Takes the reactor.
-    """
-    reactor: Any = default_reactor
-    failed: list[BaseException] = []
-
-    def note(reason: failure.Failure) -> None:
-        if reason.value is not None:
-            failed.append(reason.value)
-
-    def start() -> None:
-        running: Any = defer.ensureDeferred(work(reactor))
-        running.addErrback(note)
-        running.addBoth(lambda _: reactor.running and reactor.stop())
-
-    reactor.callWhenRunning(start)
-    reactor.run()
-    if failed:
-        raise failed[0]
-
-
 def _run_daemon(daemon: Any) -> None:
     reactor: Any = default_reactor
 
@@ -180,7 +153,7 @@
             )
             _say(f"in force everywhere at offset {published.next_offset}")
 
-    run_async(work)
+    running.run_async(work)
 
 
 @app.command()
@@ -274,7 +247,7 @@
         _say(tables.instances(statuses))
         _say(tables.histograms(statuses))
 
-    run_async(work)
+    running.run_async(work)
 
 
 @app.command("key")
@@ -304,7 +277,7 @@
         else:
             await demo_lib.run(reactor, examples, _say)
 
-    run_async(work)
+    running.run_async(work)
 
 
 @app.command()
--- a/libs/godwitdale/src/godwitdale/testing.py
+++ b/libs/godwitdale/src/godwitdale/testing.py
@@ -223,6 +223,7 @@
         declared: Objects to publish; accounts get a key each.
         entries: Number of entries.
         relayed: Whether a relay stands between entries and agents.
+        slots: Requests that each endpoint takes at once.
         entry_extra: Further settings of every entry.
         agent_extra: Further settings of every agent.
     """
@@ -230,6 +231,7 @@
     declared: Sequence[objects.Object]
     entries: int = 2
     relayed: bool = False
+    slots: int = 32
     entry_extra: dict[str, Any] = dataclasses.field(default_factory=dict)
     agent_extra: dict[str, Any] = dataclasses.field(default_factory=dict)
 
@@ -480,6 +482,7 @@
             "backend": {
                 "url": self.processes[f"endpoint-{endpoint.name}"].url,
                 "kind": "engine" if is_engine else "service",
+                "slots": self._plan.slots,
                 "service_s": 0.5 if is_engine else 0.05,
             },
             **self._plan.agent_extra,
--- a/libs/platform/src/godwitdale_platform/backend.py
+++ b/libs/platform/src/godwitdale_platform/backend.py
@@ -126,6 +126,15 @@
             transport.loseConnection()
 
 
+def body_of(data: bytes) -> iweb.IBodyProducer:
+    """Returns what sends a request body.
+
+    Args:
+        data: The body.
+    """
+    return client.FileBodyProducer(io.BytesIO(data))
+
+
 class Backend:
     """Calls one endpoint."""
 
@@ -183,7 +192,7 @@
         for name, value in call.headers:
             if name.lower() not in HOP_BY_HOP:
                 headers.addRawHeader(name, value)
-        producer = client.FileBodyProducer(io.BytesIO(call.body))
+        producer = body_of(call.body)
         return agent.request(
             call.method.encode(),
             (self._base_url + call.path).encode(),
--- a/libs/standins/src/godwitdale_standins/engine.py
+++ b/libs/standins/src/godwitdale_standins/engine.py
@@ -140,6 +140,15 @@
             self._step_soon()
         return msgspec.json.encode(self.faults)
 
+    @app.route("/shape", methods=["GET", "POST"])
+    def set_shape(self, request: Any) -> bytes:
+        """Shows or replaces speed and size; requests in it go on."""
+        if request.method == b"POST":
+            body = request.content.read()
+            self.shape = msgspec.json.decode(body, type=EngineShape)
+            self._maps = [0] * self.shape.ranks
+        return msgspec.json.encode(self.shape)
+
     @app.route("/records")
     def records(self, request: Any) -> bytes:
         """Returns what was answered and what was cancelled."""
--- a/libs/standins/src/godwitdale_standins/plain_app.py
+++ b/libs/standins/src/godwitdale_standins/plain_app.py
@@ -73,8 +73,13 @@
         body = request.content.read().decode("utf-8", "replace")
         # A caller that goes away does not undo what has begun.
         done: defer.Deferred[bytes] = defer.Deferred()
+
+        def pass_on(answer: bytes) -> None:
+            if not done.called:
+                done.callback(answer)
+
         booking = defer.ensureDeferred(self._book(request, account, body))
-        booking.addCallback(lambda answer: done.called or done.callback(answer))
+        booking.addCallback(pass_on)
         return await done
 
     async def _book(self, request: Any, account: str, body: str) -> bytes:
