Measure choice, order, limits and the moving of experts

Cause: the decisions had no figures beside naive versions. Change: 'bench policy' and 'bench experts' drive the decision code itself. Before: none.

--- a/libs/godwitdale/src/godwitdale/bench/commands.py
+++ b/libs/godwitdale/src/godwitdale/bench/commands.py
@@ -1,13 +1,17 @@
 """The subcommands of ``godwitdale bench``."""
 
+import pathlib
 from typing import Annotated
 from typing import Any
 
+import msgspec
 import typer
 
 from godwitdale import running
+from godwitdale.bench import experts
 from godwitdale.bench import links
 from godwitdale.bench import path
+from godwitdale.bench import policy
 from godwitdale.bench import report
 
 app = typer.Typer(
@@ -18,6 +22,7 @@
 Folder = Annotated[
     str | None, typer.Option("--out", help="Folder for JSON and plots.")
 ]
+Runs = Annotated[int, typer.Option(help="Seeds to run, from --seed on.")]
 Quick = Annotated[bool, typer.Option("--quick", help="Send a tenth.")]
 
 
@@ -42,3 +47,27 @@
         report.publish("link", await links.run(reactor), out)
 
     running.run_async(work)
+
+
+@app.command("policy")
+def bench_policy(seed: Seed = 1, runs: Runs = 5, out: Folder = None) -> None:
+    """Measure choice, order and limits against naive versions."""
+    results = policy.run(list(range(seed, seed + runs)), out)
+    report.publish("policy", results, out)
+
+
+@app.command("experts")
+def bench_experts(
+    seed: Seed = 1,
+    runs: Runs = 5,
+    trace: Annotated[
+        pathlib.Path | None, typer.Option(help="A trace of your own, JSON.")
+    ] = None,
+    out: Folder = None,
+) -> None:
+    """Measure skew and cost of moving experts."""
+    own = None
+    if trace is not None:
+        own = msgspec.json.decode(trace.read_bytes(), type=experts.Trace)
+    results = experts.run(list(range(seed, seed + runs)), own, out)
+    report.publish("experts", results, out)
--- /dev/null
+++ b/libs/godwitdale/src/godwitdale/bench/experts.py
@@ -0,0 +1,283 @@
+"""Skew and cost of moving experts, against never and always moving.
+
+The popularity of experts drifts by a seeded trace, or by one that a user
+declares in JSON; the decision code sees only noisy counts of the past minute.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+import time
+from typing import Any
+
+from godwitdale_declarations import selectors
+from godwitdale_experts import placement as placement_lib
+from godwitdale_experts import popularity as popularity_lib
+from godwitdale_experts import rebalance
+import msgspec
+import numpy as np
+
+from godwitdale.bench import report
+
+_MINUTES = 240
+_STEP_S = 0.025
+_TOKENS_PER_STEP = 50_000
+_TIME_CONSTANT_S = 120.0
+_MINUTE_S = 60.0
+_START_MINUTE = 9 * 60
+_COSTS = rebalance.Costs(load_s=0.4, slowdown=0.05, hold_s=0.05, step_s=_STEP_S)
+_SHAPES = (
+    placement_lib.Shape(8, 64, 10),
+    placement_lib.Shape(64, 64, 4),
+    placement_lib.Shape(256, 64, 2),
+)
+
+
+class Trace(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Popularity and speed by the minute, as a user may declare it.
+
+    Attributes:
+        name: Its name in the table.
+        load: Relative popularity, one row a minute, one column an expert.
+        speed: Relative speed, one row a minute, one column a rank.
+    """
+
+    name: str
+    load: list[list[float]]
+    speed: list[list[float]]
+
+
+def _drift(shape: placement_lib.Shape, rng: Any) -> Trace:
+    """Popularity that turns over within hours."""
+    phase = rng.uniform(0, 2 * np.pi, shape.experts)
+    rate = rng.uniform(0.3, 1.0, shape.experts) * 2 * np.pi / 180
+    height = rng.lognormal(0.0, 0.7, shape.experts)
+    minutes = np.arange(_MINUTES)[:, None]
+    load = height * (1.2 + np.sin(phase + rate * minutes))
+    return _trace("drift by the hour", load, _even_speed(shape))
+
+
+def _peaks(shape: placement_lib.Shape, rng: Any) -> Trace:
+    """Sudden peaks of some experts, ten minutes long."""
+    base = rng.lognormal(0.0, 0.5, shape.experts)
+    load = np.tile(base, (_MINUTES, 1))
+    for start in range(20, _MINUTES - 10, 40):
+        hot = rng.choice(shape.experts, 4, replace=False)
+        load[start : start + 10, hot] *= 6
+    return _trace("sudden peaks", load, _even_speed(shape))
+
+
+def _straggler(shape: placement_lib.Shape, rng: Any) -> Trace:
+    """One rank at a fifth of its speed for an hour."""
+    base = rng.lognormal(0.0, 0.5, shape.experts)
+    load = np.tile(base, (_MINUTES, 1))
+    speed = _even_speed(shape)
+    speed[60:120, int(rng.integers(shape.ranks))] = 0.2
+    return _trace("one straggler", load, speed)
+
+
+def _even_speed(shape: placement_lib.Shape) -> Any:
+    return np.ones((_MINUTES, shape.ranks))
+
+
+def _trace(name: str, load: Any, speed: Any) -> Trace:
+    return Trace(name, load.tolist(), speed.tolist())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What a policy came to on a trace.
+
+    Attributes:
+        skew_p50: Median step-time skew, the largest over the mean rank time.
+        skew_p95: 95th percentile of it.
+        bound_p50: Median step time over the bound that none can beat.
+        delayed_s_per_h: Work delayed by moves, seconds an hour.
+        moves_per_h: Moves an hour.
+        plan_p95_s: 95th percentile of the time of one decision.
+    """
+
+    skew_p50: float
+    skew_p95: float
+    bound_p50: float
+    delayed_s_per_h: float
+    moves_per_h: float
+    plan_p95_s: float
+
+
+Policy = Callable[[Any, Any, Any, placement_lib.Shape, int], Any]
+
+
+def _never(
+    current: Any, load: Any, speed: Any, shape: placement_lib.Shape, minute: int
+) -> None:
+    return None
+
+
+def _always(
+    current: Any, load: Any, speed: Any, shape: placement_lib.Shape, minute: int
+) -> Any:
+    return placement_lib.plan(load, speed, shape)
+
+
+def _declared(
+    skew_weight: float, cost_weight: float, windows: tuple[str, ...]
+) -> Policy:
+    def policy(
+        current: Any,
+        load: Any,
+        speed: Any,
+        shape: placement_lib.Shape,
+        minute: int,
+    ) -> Any:
+        now = _START_MINUTE + minute
+        preference = rebalance.Preference(
+            skew_weight,
+            cost_weight,
+            horizon_s=600.0,
+            is_quiet=any(
+                selectors.minute_in_window(now, window) for window in windows
+            ),
+        )
+        move = rebalance.consider(
+            current, load, speed, shape, preference, _COSTS
+        )
+        return move.placement if move is not None else None
+
+    return policy
+
+
+POLICIES: dict[str, Policy] = {
+    "never": _never,
+    "always": _always,
+    "kelantan (skew 5, cost 1)": _declared(5.0, 1.0, ()),
+    "kochi (skew 1, cost 5, quiet)": _declared(1.0, 5.0, ("11:30-12:00",)),
+}
+
+
+def follow(
+    trace: Trace, shape: placement_lib.Shape, policy: Policy, seed: int
+) -> Outcome:
+    """Runs a policy over a trace.
+
+    Args:
+        trace: What happens.
+        shape: Size of the group.
+        policy: Decides once a minute.
+        seed: Seed of the noise in what is observed.
+    """
+    rng = np.random.default_rng(seed)
+    watched = popularity_lib.Popularity(shape, _TIME_CONSTANT_S)
+    current = placement_lib.spread_evenly(shape)
+    skews, over_bound, times = [], [], []
+    delayed_s = 0.0
+    moves = 0
+    for minute, (load, speed) in enumerate(_minutes(trace)):
+        started_s = time.perf_counter()
+        wanted = policy(current, watched.load, watched.speed, shape, minute)
+        times.append(time.perf_counter() - started_s)
+        if wanted is not None:
+            loads = placement_lib.loads_between(current, wanted)
+            moves += loads > 0
+            if loads > 0:
+                delayed_s += rebalance.delay_s(loads, _COSTS)
+            current = wanted
+        rank_times = placement_lib.rank_times(current, load, speed)
+        skews.append(placement_lib.skew(rank_times))
+        bound = placement_lib.step_bound(load, speed)
+        over_bound.append(float(rank_times.max()) / bound)
+        counts = rng.poisson(load / load.sum() * _TOKENS_PER_STEP)
+        noisy_speed = speed * rng.normal(1.0, 0.02, shape.ranks)
+        watched.observe(counts.astype(float), noisy_speed, _MINUTE_S)
+    hours = len(trace.load) / 60
+    return Outcome(
+        report.percentile(skews, 0.5),
+        report.percentile(skews, 0.95),
+        report.percentile(over_bound, 0.5),
+        delayed_s / hours,
+        moves / hours,
+        report.percentile(times, 0.95),
+    )
+
+
+def _minutes(trace: Trace) -> Iterator[tuple[Any, Any]]:
+    for load, speed in zip(trace.load, trace.speed, strict=True):
+        yield np.array(load), np.array(speed)
+
+
+def run(
+    seeds: list[int], trace: Trace | None, folder: str | None
+) -> list[report.Result]:
+    """Runs all policies on all traces and sizes.
+
+    Args:
+        seeds: Seeds of traces and noise.
+        trace: A user's own trace instead of the seeded ones, or None.
+        folder: Where plots go, or None.
+    """
+    results = []
+    for shape in _shapes(trace):
+        rows: list[list[Any]] = []
+        medians: dict[str, dict[str, float]] = {name: {} for name in POLICIES}
+        for make in (_drift, _peaks, _straggler):
+            for name, policy in POLICIES.items():
+                found = []
+                title = ""
+                for seed in seeds:
+                    rng = np.random.default_rng(seed)
+                    used = trace if trace is not None else make(shape, rng)
+                    title = used.name
+                    found.append(follow(used, shape, policy, seed))
+                rows.append([title, name, *_cells(found)])
+                skew = report.percentile([f.skew_p50 for f in found], 0.5)
+                medians[name][title] = skew
+            if trace is not None:
+                break
+        report.plot_bars(
+            folder,
+            f"experts-{shape.ranks}",
+            f"Median step-time skew, {shape.ranks} ranks",
+            "largest over mean rank time",
+            medians,
+        )
+        results.append(
+            report.Result(
+                f"{shape.ranks} ranks, {shape.experts} experts a layer, "
+                f"{shape.slots} slots a rank, {_MINUTES} minutes",
+                _HEADER,
+                rows,
+                [f"Seeds {seeds}: median (least-most)."],
+            )
+        )
+    return results
+
+
+_HEADER = (
+    "trace",
+    "policy",
+    "skew p50",
+    "skew p95",
+    "step over bound p50",
+    "delayed s/h",
+    "moves/h",
+    "decision p95 ms",
+)
+
+
+def _shapes(trace: Trace | None) -> tuple[placement_lib.Shape, ...]:
+    if trace is None:
+        return _SHAPES
+    ranks, experts = len(trace.speed[0]), len(trace.load[0])
+    slots = max(2, -(-2 * experts // ranks))
+    return (placement_lib.Shape(ranks, experts, slots),)
+
+
+def _cells(found: list[Outcome]) -> list[str]:
+    return [
+        report.spread([each.skew_p50 for each in found]),
+        report.spread([each.skew_p95 for each in found]),
+        report.spread([each.bound_p50 for each in found]),
+        report.spread([each.delayed_s_per_h for each in found]),
+        report.spread([each.moves_per_h for each in found], 1),
+        report.spread([each.plan_p95_s * 1000 for each in found], 1),
+    ]
