Count token times in batches and format event identifiers once

Cause: a profile of the entry at 16 chats/s x 270 tokens spent 19% of its busy time in histograms and 9% in formatting event identifiers, both once a token. Ruled out: the link's decoding (3%) and gathering tokens for 10 ms instead of 4 ms, which merges nothing while a stream gets one token a step. Conclusion: kept; the profile's two items were avoidable work in any case.

--- a/libs/godwitdale/src/godwitdale/agent.py
+++ b/libs/godwitdale/src/godwitdale/agent.py
@@ -191,6 +191,7 @@
             self.life.started()
         self._executor.expire()
         self._executor.pump()
+        self._histograms.settle()
         is_leaving = self._members.is_leaving(self._own.name)
         is_drained = self._own.endpoint in self._feed.view.endpoints and (
             self._feed.view.is_leaving(self._own.endpoint)
--- a/libs/godwitdale/src/godwitdale/entry.py
+++ b/libs/godwitdale/src/godwitdale/entry.py
@@ -174,3 +174,4 @@
         self._tools.budget.set_share(self._feed.view.policy.retry_share)
         self._fleet.open_links()
         self._limits.correct()
+        self._histograms.settle()
--- a/libs/godwitdale/src/godwitdale/streaming.py
+++ b/libs/godwitdale/src/godwitdale/streaming.py
@@ -98,7 +98,7 @@
         self._most_buffered_bytes = most_buffered_bytes
         self._after = after
         self._head: messages.Head | None = None
-        self._endpoint = ""
+        self._id_prefix = b""
         self._is_stream = False
         self._buffer: list[bytes] = []
         self._buffered_bytes = 0
@@ -115,7 +115,8 @@
     def head(self, head: messages.Head, endpoint: str) -> None:
         """Takes status and headers of an answer."""
         self._head = head
-        self._endpoint = endpoint
+        origin = _SEPARATOR.join(["id: " + endpoint, str(head.id), ""])
+        self._id_prefix = origin.encode()
         self._buffer.clear()
         self._buffered_bytes = 0
         self._is_stream = any(
@@ -231,14 +232,12 @@
 
         Agents cut event streams into frames between events only.
         """
-        assert self._head is not None
         parts = []
-        events = data.split(_EVENT_END)
-        for index, event in enumerate(events):
+        for index, event in enumerate(data.split(_EVENT_END)):
             if not event or self._is_known(number, index):
                 continue
-            event_id = EventId(self._endpoint, self._head.id, number, index)
-            parts.append(f"id: {event_id}\n".encode() + event + _EVENT_END)
+            place = f"{number}.{index}\n".encode()
+            parts += (self._id_prefix, place, event, _EVENT_END)
         return b"".join(parts)
 
     def _is_known(self, frame: int, index: int) -> bool:
--- a/libs/observe/src/godwitdale_observe/histograms.py
+++ b/libs/observe/src/godwitdale_observe/histograms.py
@@ -1,5 +1,6 @@
 """Histograms of times per service class and client account."""
 
+import collections
 import dataclasses
 import enum
 
@@ -8,9 +9,11 @@
 _MOST_US = 3_600_000_000
 _LEAST_US = 10
 _SIGNIFICANT_FIGURES = 2
+_SIGNIFICANT_BITS = 8
 _WORD_BYTES = 4
 _US_PER_S = 1_000_000
 _MS_PER_US = 0.001
+_MOST_PENDING = 10_000
 OTHER = "(other)"
 
 
@@ -62,7 +65,7 @@
     many, the least used one is merged into ``OTHER``.
     """
 
-    __slots__ = ("_most_accounts", "_classes", "_accounts")
+    __slots__ = ("_most_accounts", "_classes", "_accounts", "_pending")
 
     def __init__(self, most_accounts: int) -> None:
         """Starts empty.
@@ -73,26 +76,45 @@
         self._most_accounts = most_accounts
         self._classes: dict[str, dict[Metric, hdr.HdrHistogram]] = {}
         self._accounts: dict[str, dict[Metric, hdr.HdrHistogram]] = {}
+        self._pending: dict[tuple[Metric, str, str], list[float]] = {}
 
     def record(
         self, metric: Metric, service_class: str, account: str, value_s: float
     ) -> None:
         """Adds one value.
 
+        Values are gathered and counted by ``settle``, because there is one
+        for every token.
+
         Args:
             metric: What was measured.
             service_class: The request's class.
             account: Its client account.
             value_s: The value.
         """
-        value_us = min(_MOST_US, max(_LEAST_US, int(value_s * _US_PER_S)))
-        self._find(self._classes, service_class, metric).record_value(value_us)
-        if account not in self._accounts:
-            self._make_room()
-        self._find(self._accounts, account, metric).record_value(value_us)
+        key = (metric, service_class, account)
+        pending = self._pending.get(key)
+        if pending is None:
+            pending = self._pending[key] = []
+        pending.append(value_s)
+        if len(pending) >= _MOST_PENDING:
+            self.settle()
+
+    def settle(self) -> None:
+        """Counts the values that were gathered since the last call."""
+        pending, self._pending = self._pending, {}
+        for (metric, service_class, account), values_s in pending.items():
+            if account not in self._accounts:
+                self._make_room()
+            by_class = self._find(self._classes, service_class, metric)
+            by_account = self._find(self._accounts, account, metric)
+            for value_us, count in _counted(values_s).items():
+                by_class.record_value(value_us, count)
+                by_account.record_value(value_us, count)
 
     def rows(self) -> list[Row]:
         """Returns a summary of every histogram."""
+        self.settle()
         found = []
         for kind, table in (
             ("class", self._classes),
@@ -128,6 +150,17 @@
         )
 
 
+def _counted(values_s: list[float]) -> collections.Counter[int]:
+    """Rounds values as the histograms do and counts equal ones."""
+    counted: collections.Counter[int] = collections.Counter()
+    for value_s in values_s:
+        value_us = min(_MOST_US, max(_LEAST_US, int(value_s * _US_PER_S)))
+        # Keeps 8 significant bits, finer than two decimal digits.
+        shift = max(0, value_us.bit_length() - _SIGNIFICANT_BITS)
+        counted[value_us >> shift << shift] += 1
+    return counted
+
+
 def _summary(
     metric: Metric, kind: str, name: str, each: hdr.HdrHistogram
 ) -> Row:
