Draw two warm endpoints beside two random ones

Cause: knowing prefixes made the time to first token worse. The warmest endpoint was one and the same for a popular prefix, and the bench remembered only two holders where the real index remembers all. Change: two random ones of all likely holders join the two random endpoints; the bench uses the real prefix index, with evictions told late and in part.

--- a/libs/godwitdale/src/godwitdale/bench/policy.py
+++ b/libs/godwitdale/src/godwitdale/bench/policy.py
@@ -12,11 +12,13 @@
 import heapq
 import itertools
 import random
+import statistics
 from typing import Any
 
 from godwitdale_routing import admission
 from godwitdale_routing import choice
 from godwitdale_routing import limits
+from godwitdale_routing import prefixes
 from godwitdale_routing import queueing
 
 from godwitdale.bench import report
@@ -31,6 +33,9 @@
 _PREFIXES = 400
 _PREFILL_S = 0.2
 _CACHED_PREFIXES = 40
+_PREFIX_TOKENS = 2000
+_INDEXED_BLOCKS = 50_000
+_LOST_EVENT_SHARE = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +81,7 @@
         self.sheds = sheds
         self.running = 0
         self.cache: dict[int, None] = {}
+        self.evicted: list[int] = []
 
     def service_s(self, arrival: Arrival) -> tuple[float, float]:
         """Returns the time to the first token and the whole time."""
@@ -85,7 +91,9 @@
             del self.cache[arrival.prefix]
         self.cache[arrival.prefix] = None
         if len(self.cache) > _CACHED_PREFIXES:
-            del self.cache[next(iter(self.cache))]
+            oldest = next(iter(self.cache))
+            del self.cache[oldest]
+            self.evicted.append(oldest)
         prefill_s /= self.speed
         return prefill_s, prefill_s + arrival.work * _SERVICE_S / self.speed
 
@@ -117,7 +125,8 @@
             for number in range(len(speeds))
         ]
         self._knows_prefixes = knows_prefixes
-        self._homes: dict[int, list[int]] = {}
+        self._index = prefixes.PrefixIndex(_INDEXED_BLOCKS)
+        self._rng = random.Random(len(speeds))
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._now_s = 0.0
@@ -142,6 +151,7 @@
     def _reporter(self, number: int) -> Callable[[], None]:
         def make_report() -> None:
             server = self._servers[number]
+            self._tell_evictions(number)
             made = choice.LoadReport(
                 running=server.running,
                 queued=len(server.queue),
@@ -160,20 +170,28 @@
 
         return make_report
 
+    def _tell_evictions(self, number: int) -> None:
+        """Passes on cache events, some of which are lost."""
+        server = self._servers[number]
+        evicted, server.evicted = server.evicted, []
+        kept = [e for e in evicted if self._rng.random() >= _LOST_EVENT_SHARE]
+        self._index.evicted(str(number), kept)
+
     def _take(self, number: int, made: choice.LoadReport, sent: int) -> None:
         self._tracked[number].reported(made, included=sent)
 
     def _arrive(self, arrival: Arrival) -> None:
         cached = {}
         if self._knows_prefixes:
-            homes = self._homes.get(arrival.prefix, [])
-            cached = {str(number): 1900 for number in homes}
-        ask = choice.Ask(prompt_tokens=2000, cached_tokens=cached, zone="z")
+            held = self._index.cached_tokens([arrival.prefix])
+            cached = dict.fromkeys(held, _PREFIX_TOKENS)
+        ask = choice.Ask(
+            prompt_tokens=_PREFIX_TOKENS, cached_tokens=cached, zone="z"
+        )
         chosen = self._chooser.choose(self._tracked, ask, self._now_s)
         number = int(chosen.name)
         chosen.sent += 1
-        self._homes.setdefault(arrival.prefix, []).append(number)
-        del self._homes[arrival.prefix][:-2]
+        self._index.stored(chosen.name, [arrival.prefix])
         self._enqueue(self._servers[number], arrival)
 
     def _enqueue(self, server: _Server, arrival: Arrival) -> None:
@@ -288,19 +306,20 @@
             waits = _waits(loop.run(traffic), lambda _: True)
             cells.setdefault(name, []).append(
                 [report.percentile(waits, share) for share in (0.5, 0.95, 0.99)]
+                + [statistics.fmean(waits)]
             )
     rows = [
         [name]
         + [
             report.spread([run[column] * _MS_PER_S for run in runs], 0)
-            for column in range(3)
+            for column in range(4)
         ]
         for name, runs in cells.items()
     ]
     return report.Result(
         f"Time to first token, {_ENDPOINTS} endpoints (2 at half speed), load "
         "0.8, reports 0.5 to 1.5 s old",
-        ("chooser", "p50 ms", "p95 ms", "p99 ms"),
+        ("chooser", "p50 ms", "p95 ms", "p99 ms", "mean ms"),
         rows,
         [f"Seeds {seeds}: median (least-most)."],
     )
--- a/libs/godwitdale/src/godwitdale/streaming.py
+++ b/libs/godwitdale/src/godwitdale/streaming.py
@@ -232,7 +232,7 @@
 
         Agents cut event streams into frames between events only.
         """
-        parts = []
+        parts: list[bytes] = []
         for index, event in enumerate(data.split(_EVENT_END)):
             if not event or self._is_known(number, index):
                 continue
--- a/libs/routing/src/godwitdale_routing/choice.py
+++ b/libs/routing/src/godwitdale_routing/choice.py
@@ -82,12 +82,12 @@
         """
         report = self.report
         ahead = report.running + report.queued + self.sent
-        waiting = max(0, ahead + 1 - report.slots)
-        queue_s = waiting * report.service_s / max(1, report.slots)
+        slots = max(1, report.slots)
+        waiting = max(0, ahead + 1 - slots)
+        queue_s = waiting * report.service_s / slots
         fresh_tokens = max(0, prompt_tokens - cached_tokens)
         prefill_s = fresh_tokens / report.prefill_tokens_per_s
-        crowding = 1 + ahead / max(1, report.slots)
-        return queue_s + prefill_s + report.step_s * crowding
+        return queue_s + prefill_s + report.step_s * (1 + ahead / slots)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,11 +117,11 @@
 
 
 class TwoChoices:
-    """The better of two random endpoints and the warmest one.
+    """The best of two random endpoints and two warm ones.
 
     Two choices avoid that every entry runs to the endpoint whose late report
-    looks best; the warmest endpoint joins them, so that a cached prefix is
-    used while it wins by prediction, and only then.
+    looks best. Two of those that likely hold the prompt's prefix join them,
+    so that a cached prefix is used while it wins by prediction, and only then.
     """
 
     __slots__ = ("_rng",)
@@ -136,19 +136,12 @@
         for each in candidates:
             if each.name == ask.home:
                 return each
-        drawn = self._draw(candidates, now_s)
-        if ask.cached_tokens:
-            drawn.append(
-                max(
-                    candidates,
-                    key=lambda each: ask.cached_tokens.get(each.name, 0),
-                )
-            )
+        drawn = self._draw(candidates)
+        warm = [each for each in candidates if each.name in ask.cached_tokens]
+        drawn += self._draw(warm)
         return min(drawn, key=lambda each: self._cost_s(each, ask, now_s))
 
-    def _draw(
-        self, candidates: Sequence[Tracked], now_s: float
-    ) -> list[Tracked]:
+    def _draw(self, candidates: Sequence[Tracked]) -> list[Tracked]:
         count = min(_CHOICES, len(candidates))
         return self._rng.sample(list(candidates), count)
 
