--- a/libs/experts/src/godwitdale_experts/rebalance.py
+++ b/libs/experts/src/godwitdale_experts/rebalance.py
@@ -6,6 +6,7 @@
 
 from godwitdale_experts import placement as placement_lib
 
+_HORIZON_WEIGHT = 0.3
 _CHANGE_STEPS = (4, 16, 64, 256)
 
 
@@ -60,6 +61,42 @@
     gain_s: float
 
 
+class Horizon:
+    """How long a placement may be expected to stay good.
+
+    What operators declare is the longest; a placement that is replaced sooner
+    has not earned its keep for longer than that, so that drift itself teaches
+    to move less.
+
+    Attributes:
+        expected_s: The expectation.
+    """
+
+    __slots__ = ("expected_s", "_longest_s", "_moved_at_s")
+
+    def __init__(self, longest_s: float, now_s: float) -> None:
+        """Starts from the declared horizon.
+
+        Args:
+            longest_s: The declared horizon.
+            now_s: The current time.
+        """
+        self.expected_s = longest_s
+        self._longest_s = longest_s
+        self._moved_at_s = now_s
+
+    def moved(self, now_s: float) -> None:
+        """Notes that a move has replaced the placement."""
+        lasted_s = min(self._longest_s, now_s - self._moved_at_s)
+        self.expected_s += _HORIZON_WEIGHT * (lasted_s - self.expected_s)
+        self._moved_at_s = now_s
+
+    def stayed(self, now_s: float) -> None:
+        """Notes that the placement is still good."""
+        lasted_s = min(self._longest_s, now_s - self._moved_at_s)
+        self.expected_s = max(self.expected_s, lasted_s)
+
+
 def delay_s(loads: int, costs: Costs) -> float:
     """Returns the work that a move delays, in seconds of the group's time."""
     return costs.hold_s + loads * costs.load_s * costs.slowdown
