Run mixed faults for long and check every promise from outside

Cause: single failures are tested; their mixtures were not. Change: 'bench faults' sends bookings and drafts while agents and entries are killed and frozen, connections cut and silenced, and the log is out, slow or loses answers, now and then two at once; what happened is read from the stand-ins.

--- a/libs/godwitdale/src/godwitdale/bench/commands.py
+++ b/libs/godwitdale/src/godwitdale/bench/commands.py
@@ -9,6 +9,7 @@
 
 from godwitdale import running
 from godwitdale.bench import experts
+from godwitdale.bench import faults
 from godwitdale.bench import links
 from godwitdale.bench import path
 from godwitdale.bench import policy
@@ -71,3 +72,18 @@
         own = msgspec.json.decode(trace.read_bytes(), type=experts.Trace)
     results = experts.run(list(range(seed, seed + runs)), own, out)
     report.publish("experts", results, out)
+
+
+@app.command("faults")
+def bench_faults(
+    minutes: Annotated[float, typer.Option(help="How long.")] = 2.0,
+    seed: Seed = 1,
+    out: Folder = None,
+) -> None:
+    """Run mixed faults for long and check every promise."""
+
+    async def work(reactor: Any) -> None:
+        results = await faults.run(reactor, minutes, seed)
+        report.publish("faults", results, out)
+
+    running.run_async(work)
