Bound the links of an entry, pass the first token on at once, add TLS tests

Cause: at the planned size a subset of 64 for each selector would have meant some 1,200 links an entry; subsets and the models were worked out for every request from 3,000 endpoints; the whole instance list was fetched every second; the first token waited 4 ms for company; and a body that was too large could reset the connection before its 413 was read (seen once as a broken pipe). Ruled out: that the 413 test was at fault; closing with unread bytes resets. Change: a budget of links over all sets of endpoints; subsets and models once a state of the declarations; an ETag on the instance list; the first data frame is not gathered; the rest of an oversized body is read and dropped; tests of TLS, mutual TLS and reloading; the page on capacity's script and slopes.

--- a/libs/declarations/src/godwitdale_declarations/view.py
+++ b/libs/declarations/src/godwitdale_declarations/view.py
@@ -20,6 +20,7 @@
         groups: Groups by name.
         selectors: Selectors in the order in which they are tried.
         policy: Limits of the whole system.
+        models: Names of all models that endpoints serve.
     """
 
     __slots__ = (
@@ -29,6 +30,7 @@
         "groups",
         "selectors",
         "policy",
+        "models",
         "_keys",
     )
 
@@ -45,6 +47,11 @@
             else:
                 self._add(each)
         self.selectors = selectors.order(found)
+        self.models = frozenset(
+            endpoint.labels["model"]
+            for endpoint in self.endpoints.values()
+            if "model" in endpoint.labels
+        )
         self._keys = {
             key.id: (key, account)
             for account in self.accounts.values()
@@ -71,16 +78,6 @@
         declared, account = found
         return account if keys.verify(key, declared) else None
 
-    def models(self) -> list[str]:
-        """Returns the names of all models that endpoints serve, sorted."""
-        return sorted(
-            {
-                endpoint.labels["model"]
-                for endpoint in self.endpoints.values()
-                if "model" in endpoint.labels
-            }
-        )
-
     def is_leaving(self, endpoint: str) -> bool:
         """Tells whether an operator's label drains an endpoint."""
         declared = self.endpoints.get(endpoint)
--- a/libs/godwitdale/src/godwitdale/agent.py
+++ b/libs/godwitdale/src/godwitdale/agent.py
@@ -1,6 +1,7 @@
 """The agent daemon: its composition root and its tasks."""
 
 import random
+import statistics
 from typing import Any
 
 from godwitdale_link import server as link_server
@@ -201,12 +202,21 @@
         else:
             self._executor.stay()
 
+    def _take_load(self, load: dict[str, Any]) -> None:
+        self._executor.step_s = float(load.get("step_s", 0.0))
+        rank_step_s = load.get("rank_step_s")
+        if rank_step_s:
+            skew_s = max(rank_step_s) - statistics.fmean(rank_step_s)
+            self._histograms.record(
+                histograms.Metric.SKEW, "steps", self._own.endpoint, skew_s
+            )
+
     async def _watch_engine(self) -> None:
         """Follows the step time that a lagging engine reports."""
         while not self._is_stopping:
             try:
                 load = await self._backend.get_json("/load", _LOAD_TIMEOUT_S)
-                self._executor.step_s = float(load.get("step_s", 0.0))
+                self._take_load(load)
             except Exception as error:  # A lost report changes nothing.
                 logs.EventLog().info("no load report", error=repr(error))
             await task.deferLater(
--- a/libs/godwitdale/src/godwitdale/bench/commands.py
+++ b/libs/godwitdale/src/godwitdale/bench/commands.py
@@ -14,6 +14,7 @@
 from godwitdale.bench import path
 from godwitdale.bench import policy
 from godwitdale.bench import report
+from godwitdale.bench import slopes
 
 app = typer.Typer(
     help="Measure the system; each prints a table and can write JSON.",
@@ -87,3 +88,13 @@
         report.publish("faults", results, out)
 
     running.run_async(work)
+
+
+@app.command("slopes")
+def bench_slopes(out: Folder = None) -> None:
+    """Measure what the page on capacity is worked out from."""
+
+    async def work(reactor: Any) -> None:
+        report.publish("slopes-table", await slopes.run(reactor, out), out)
+
+    running.run_async(work)
--- /dev/null
+++ b/libs/godwitdale/src/godwitdale/bench/slopes.py
@@ -0,0 +1,457 @@
+"""Slopes for the page on capacity: what one more of something costs.
+
+Every figure is the difference between two sizes, so that what a process costs
+at rest does not enter.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import gc
+import multiprocessing
+import os
+import pathlib
+import time
+import tracemalloc
+from typing import Any
+
+from godwitdale_claims import ledger as ledger_lib
+from godwitdale_claims import records as claim_records
+from godwitdale_declarations import fold as fold_lib
+from godwitdale_declarations import keys
+from godwitdale_declarations import objects
+from godwitdale_declarations import records
+from godwitdale_declarations import selectors
+from godwitdale_declarations import view as view_lib
+from godwitdale_link import client
+from godwitdale_link import messages
+from godwitdale_link import server
+from godwitdale_platform import instances as instances_lib
+from godwitdale_routing import subsets
+import msgspec
+from twisted.internet import endpoints
+from twisted.internet import task
+
+from godwitdale.bench import load
+from godwitdale.bench import report
+
+_HOST = "127.0.0.1"
+_US_PER_S = 1_000_000
+_LINK_COUNTS = (25, 150)
+_LINK_SECONDS = 8.0
+_LOAD = messages.Load(3, 2, 32, 0.51, 0.0251, 10_000.0, False)
+_POSITION = messages.Position(123_456, 0.731)
+_ACCOUNTS = [(f"account-{number}", 1.25) for number in range(8)]
+
+
+class Slopes(msgspec.Struct, frozen=True):
+    """What one more costs.
+
+    Attributes:
+        fold_us: Time to fold one record.
+        view_us_per_object: Time to rebuild the view, for each object.
+        object_bytes: Memory of one declared object, view included.
+        snapshot_bytes_per_object: Size in a snapshot.
+        record_bytes: Size of one change in the log.
+        subset_us_per_endpoint: Time to choose subsets anew, for each endpoint
+            and set.
+        bind_us_per_selector: Time to bind a request, for each selector tried.
+        claim_us: Time to fold one claim entry.
+        claim_bytes: Size of one claim entry in the log.
+        key_bytes: Memory of one remembered key.
+        instance_bytes: Size of one row of the instance list.
+        link_entry_us: Processor time of a link's entry end, a heartbeat.
+        link_agent_us: Processor time of a link's agent end, a heartbeat.
+        link_bytes: Payload of one heartbeat, both ways together.
+        link_entry_memory_bytes: Memory of one link at the entry.
+        process_mb: Memory of a daemon at rest.
+    """
+
+    fold_us: float
+    view_us_per_object: float
+    object_bytes: float
+    snapshot_bytes_per_object: float
+    record_bytes: float
+    subset_us_per_endpoint: float
+    bind_us_per_selector: float
+    claim_us: float
+    claim_bytes: float
+    key_bytes: float
+    instance_bytes: float
+    link_entry_us: float
+    link_agent_us: float
+    link_bytes: float
+    link_entry_memory_bytes: float
+    process_mb: float
+
+
+def _objects(count: int) -> list[objects.Object]:
+    """Returns accounts and endpoints in the planned proportion, 2 to 3."""
+    found: list[objects.Object] = []
+    for number in range(count):
+        if number % 5 < 2:
+            key = keys.declare(f"k{number}.{'s' * 43}", "ab" * 16)
+            found.append(
+                objects.Account(
+                    name=f"account-{number}",
+                    labels={"member": f"m{number % 40}", "kind": "desk"},
+                    keys=[key],
+                    requests_per_s=50.0,
+                )
+            )
+        else:
+            labels = {
+                "model": f"model-{number % 19}",
+                "zone": f"zone-{number % 17}",
+                "group": f"group-{number % 40}",
+                "role": "runner",
+            }
+            found.append(
+                objects.Endpoint(name=f"runner-{number}", labels=labels)
+            )
+    return found
+
+
+def _fold(count: int) -> fold_lib.Fold:
+    fold = fold_lib.Fold()
+    for offset, each in enumerate(_objects(count)):
+        change = records.Change(
+            id=f"{offset:032x}",
+            key=objects.key_of(each),
+            based_on=0,
+            body=records.encode_object(each),
+            author="operator",
+        )
+        fold.feed(offset, records.encode(change))
+    return fold
+
+
+def _timed_us(action: Callable[[], Any]) -> float:
+    started_s = time.perf_counter()
+    action()
+    return (time.perf_counter() - started_s) * _US_PER_S
+
+
+def _memory_of(make: Callable[[], Any]) -> int:
+    gc.collect()
+    tracemalloc.start()
+    kept = make()
+    gc.collect()
+    current, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return current
+
+
+def _slope(at: Callable[[int], float], small: int, large: int) -> float:
+    return (at(large) - at(small)) / (large - small)
+
+
+def _declaration_slopes(small: int, large: int) -> dict[str, float]:
+    def rebuild_us(count: int) -> float:
+        held = [h.declared for h in _fold(count).state.objects.values()]
+        return min(_timed_us(lambda: view_lib.View(held)) for _ in range(5))
+
+    def memory(count: int) -> float:
+        def make() -> Any:
+            fold = _fold(count)
+            return fold, view_lib.ViewCache(fold).get()
+
+        return float(_memory_of(make))
+
+    def snapshot_bytes(count: int) -> float:
+        parts = _fold(count).state.snapshot()
+        return float(sum(len(records.encode(part)) for part in parts))
+
+    def choose_us(count: int) -> float:
+        names = [f"runner-{number}" for number in range(count)]
+        return min(
+            _timed_us(lambda: subsets.subset("entry-1", names, 8))
+            for _ in range(5)
+        )
+
+    (change,) = _fold(1).records_from(0) or [(0, b"")]
+    return {
+        "fold_us": _slope(
+            lambda n: min(_timed_us(lambda: _fold(n)) for _ in range(3)),
+            small,
+            large,
+        ),
+        "view_us_per_object": _slope(rebuild_us, small, large),
+        "object_bytes": _slope(memory, small, large),
+        "snapshot_bytes_per_object": _slope(snapshot_bytes, small, large),
+        "record_bytes": float(len(change[1])),
+        "subset_us_per_endpoint": _slope(choose_us, small, large),
+        "bind_us_per_selector": _bind_us_per_selector(),
+    }
+
+
+def _bind_us_per_selector() -> float:
+    request = selectors.Request(
+        account="a",
+        account_labels={"kind": "desk"},
+        method="POST",
+        path="/v1/chat/completions",
+        model="m",
+        headers={},
+        minute_of_day=600,
+    )
+
+    def bind_us(count: int) -> float:
+        when = [
+            objects.Condition("path", "equals", ["/v1/chat/completions"]),
+            objects.Condition("model", "equals", ["other"]),
+        ]
+        endpoint = [objects.Condition("role", "exists")]
+        tried = [
+            objects.Selector(
+                name=f"s{number}", work="w", endpoints=endpoint, when=when
+            )
+            for number in range(count)
+        ]
+        return min(
+            _timed_us(lambda: selectors.bind(tried, request)) for _ in range(20)
+        )
+
+    return _slope(bind_us, 10, 100)
+
+
+def _claim_slopes(small: int, large: int) -> dict[str, float]:
+    def entries(count: int) -> list[claim_records.Entry]:
+        found: list[claim_records.Entry] = []
+        for number in range(count):
+            key = f"{number:032x}"
+            attempt = f"0123456789abcdef-{number}/0123456789abcdef"
+            found.append(claim_records.Claim(key, attempt, key))
+            found.append(
+                claim_records.Outcome(
+                    key, attempt, 201, "application/json", b"x" * 60
+                )
+            )
+        return found
+
+    def fill(count: int) -> ledger_lib.Ledger:
+        ledger = ledger_lib.Ledger(1e9)
+        data = claim_records.encode(entries(count))
+        ledger.feed(0, 0.0, claim_records.decode(data))
+        return ledger
+
+    return {
+        "claim_us": _slope(lambda n: _timed_us(lambda: fill(n)), small, large)
+        / 2,
+        "claim_bytes": _slope(
+            lambda n: float(len(claim_records.encode(entries(n)))),
+            small,
+            large,
+        )
+        / 2,
+        "key_bytes": _slope(
+            lambda n: float(_memory_of(lambda: fill(n))), small, large
+        ),
+    }
+
+
+class _StubHandler:
+    """Answers heartbeats and nothing else."""
+
+    def load(self) -> messages.Load:
+        return _LOAD
+
+    def heavy_accounts(self) -> list[tuple[str, float]]:
+        return _ACCOUNTS
+
+    def position(self) -> messages.Position:
+        return _POSITION
+
+    def entry_seen(self, incarnation: str, position: messages.Position) -> None:
+        pass
+
+    def declarations_from(self, next_offset: int) -> messages.Declarations:
+        return messages.Declarations([], [])
+
+    def declarations_received(self, message: messages.Declarations) -> None:
+        pass
+
+    def submitted(
+        self, submit: messages.Submit, sink: server.AnswerSink
+    ) -> None:
+        pass
+
+    def revoke(self, request_id: Any) -> bool:
+        return False
+
+    def cancel(self, request_id: Any) -> None:
+        pass
+
+
+class _StubHost:
+    """Takes what links report and does nothing with it."""
+
+    def position(self) -> messages.Position:
+        return _POSITION
+
+    def agent_seen(self, endpoint: str, position: messages.Position) -> None:
+        pass
+
+    def declarations_from(self, next_offset: int) -> messages.Declarations:
+        return messages.Declarations([], [])
+
+    def declarations_received(self, message: messages.Declarations) -> None:
+        pass
+
+    def load_reported(self, endpoint: str, load: Any, accounts: Any) -> None:
+        pass
+
+    def agent_restarted(self, endpoint: str) -> None:
+        pass
+
+
+def _serve_agents(port_out: Any, count: int) -> None:
+    from twisted.internet import reactor as chosen
+
+    reactor: Any = chosen
+    ports = []
+    for number in range(count):
+        factory = server.LinkServer(
+            "0123456789abcdef",
+            f"runner-{number}",
+            _StubHandler(),
+            reactor,
+            server.Keeping(),
+        )
+        port = reactor.listenTCP(0, factory, interface=_HOST)
+        ports.append(port.getHost().port)
+    port_out.send(ports)
+    reactor.run(installSignalHandlers=False)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _LinkReading:
+    """What some links cost for some seconds, a heartbeat a second."""
+
+    entry_cpu_s: float
+    agent_cpu_s: float
+    payload_bytes: float
+    memory_bytes: float
+
+
+async def _hold_links(reactor: Any, count: int) -> _LinkReading:
+    context = multiprocessing.get_context("spawn")
+    ours, theirs = context.Pipe()
+    process = context.Process(
+        target=_serve_agents, args=(theirs, count), daemon=True
+    )
+    process.start()
+    ports = ours.recv()
+    before_bytes = load.memory_mb(os.getpid()) * 1024 * 1024
+    links = [
+        client.AgentLink(
+            f"runner-{number}",
+            endpoints.TCP4ClientEndpoint(reactor, _HOST, port),
+            "fedcba9876543210",
+            _StubHost(),
+            reactor,
+            client.Timing(),
+        )
+        for number, port in enumerate(ports)
+    ]
+    for link in links:
+        link.open()
+    await task.deferLater(reactor, 2.0, lambda: None)
+    memory = load.memory_mb(os.getpid()) * 1024 * 1024 - before_bytes
+    traffic = sum(sum(link.traffic_bytes) for link in links)
+    entry_s = time.process_time()
+    agent_s = load.cpu_s(process.pid or 0)
+    await task.deferLater(reactor, _LINK_SECONDS, lambda: None)
+    reading = _LinkReading(
+        time.process_time() - entry_s,
+        load.cpu_s(process.pid or 0) - agent_s,
+        sum(sum(link.traffic_bytes) for link in links) - traffic,
+        memory,
+    )
+    for link in links:
+        link.close()
+    process.terminate()
+    process.join()
+    return reading
+
+
+async def _link_slopes(reactor: Any) -> dict[str, float]:
+    few, many = _LINK_COUNTS
+    low = await _hold_links(reactor, few)
+    high = await _hold_links(reactor, many)
+    beats = (many - few) * _LINK_SECONDS
+
+    def per_beat(read: Callable[[_LinkReading], float]) -> float:
+        return (read(high) - read(low)) / beats
+
+    return {
+        "link_entry_us": per_beat(lambda r: r.entry_cpu_s) * _US_PER_S,
+        "link_agent_us": per_beat(lambda r: r.agent_cpu_s) * _US_PER_S,
+        "link_bytes": per_beat(lambda r: r.payload_bytes),
+        "link_entry_memory_bytes": (high.memory_bytes - low.memory_bytes)
+        / (many - few),
+    }
+
+
+def _instance_bytes() -> float:
+    row = instances_lib.Instance(
+        name="agent-of-runner-1234",
+        role="agent",
+        host="10.123.123.123",
+        port=7100,
+        admin_port=7101,
+        zone="region-3-zone-2",
+        endpoint="runner-1234",
+    )
+    return float(len(msgspec.json.encode(row)) + 1)
+
+
+async def run(reactor: Any, folder: str | None) -> list[report.Result]:
+    """Measures all slopes.
+
+    Args:
+        reactor: The Twisted reactor.
+        folder: Where ``slopes.json`` goes, or None.
+    """
+    found = _declaration_slopes(500, 5000)
+    found |= _claim_slopes(2000, 20_000)
+    found |= await _link_slopes(reactor)
+    found["instance_bytes"] = _instance_bytes()
+    found["process_mb"] = _daemon_mb()
+    measured = Slopes(**{name: round(v, 3) for name, v in found.items()})
+    if folder is not None:
+        target = pathlib.Path(folder)
+        target.mkdir(parents=True, exist_ok=True)
+        data = msgspec.json.format(msgspec.json.encode(measured), indent=1)
+        (target / "slopes.json").write_bytes(data)
+    rows = [
+        [name, getattr(measured, name)] for name in Slopes.__struct_fields__
+    ]
+    return [
+        report.Result(
+            "Slopes: declarations from 500 to 5,000 objects, claims from 2,000 "
+            f"to 20,000 keys, links from {_LINK_COUNTS[0]} to "
+            f"{_LINK_COUNTS[1]}",
+            ("slope", "value"),
+            rows,
+        )
+    ]
+
+
+def _daemon_mb() -> float:
+    """Returns the memory of a process that has imported the daemons."""
+    context = multiprocessing.get_context("spawn")
+    ours, theirs = context.Pipe()
+    process = context.Process(target=_import_daemons, args=(theirs,))
+    process.start()
+    memory = ours.recv()
+    process.join()
+    return float(memory)
+
+
+def _import_daemons(memory_out: Any) -> None:
+    import godwitdale.agent
+    import godwitdale.entry
+
+    del godwitdale
+    memory_out.send(load.memory_mb(os.getpid()))
--- a/libs/godwitdale/src/godwitdale/callers.py
+++ b/libs/godwitdale/src/godwitdale/callers.py
@@ -16,6 +16,7 @@
 from godwitdale_verdicts import outcomes
 import klein
 import msgspec
+from twisted.internet import reactor as chosen_reactor
 from twisted.web import server
 import uuid_utils
 
@@ -31,7 +32,9 @@
 _SECONDS_PER_MINUTE = 60
 _MS_PER_S = 1000
 _FUTURE_KEY_S = 60.0
+_LINGER_S = 2.0
 _ACCOUNT_HEADER = "godwitdale-account"
+default_reactor: Any = chosen_reactor
 _STRIPPED = backend.HOP_BY_HOP | {
     "authorization",
     "idempotency-key",
@@ -118,7 +121,16 @@
             b"Godwitdale-Verdict: not-run\r\n"
             b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
         )
-        self.channel.loseConnection()
+        # Closing with unread bytes would reset the connection, and the caller
+        # might never read the answer; so the rest is read and dropped.
+        channel = self.channel
+        channel.dataReceived = _drop
+        channel.setTimeout(None)
+        default_reactor.callLater(_LINGER_S, channel.loseConnection)
+
+
+def _drop(data: bytes) -> None:
+    """Reads and forgets."""
 
 
 class CallerApi:
@@ -212,7 +224,7 @@
         request.setHeader("Content-Type", "application/json")
         models = [
             {"id": name, "object": "model", "owned_by": "godwitdale"}
-            for name in self._tools.feed.view.models()
+            for name in sorted(self._tools.feed.view.models)
         ]
         return msgspec.json.encode({"object": "list", "data": models})
 
@@ -348,7 +360,7 @@
         if not chat.messages:
             raise _refuse(outcomes.Reason.BAD_REQUEST, "messages is empty")
         prompt = msgspec.json.encode(chat.messages)
-        if chat.model not in self._tools.feed.view.models():
+        if chat.model not in self._tools.feed.view.models:
             raise _refuse(
                 outcomes.Reason.NOT_FOUND, f"there is no model {chat.model!r}"
             )
--- a/libs/godwitdale/src/godwitdale/fleet.py
+++ b/libs/godwitdale/src/godwitdale/fleet.py
@@ -5,6 +5,7 @@
 
 from godwitdale_declarations import objects
 from godwitdale_declarations import selectors
+from godwitdale_declarations import view as view_lib
 from godwitdale_link import client
 from godwitdale_link import messages
 from godwitdale_routing import choice
@@ -19,6 +20,7 @@
 
 _PREFIX_BLOCKS = 50_000
 _PEERS = 3
+_LEAST_SUBSET = 4
 
 
 class Fleet:
@@ -61,6 +63,8 @@
         self._addresses: dict[str, tuple[str, int]] = {}
         beat = own.heartbeat
         self._is_closed = False
+        self._subsets: dict[str, list[str]] = {}
+        self._subsets_of: view_lib.View | None = None
         self._timing = client.Timing(
             heartbeat_s=beat.interval_s,
             silence_s=beat.silence_s,
@@ -216,14 +220,33 @@
         }
 
     def _subset(self, selector: objects.Selector) -> list[str]:
-        matching = [
-            endpoint.name
-            for endpoint in self._feed.view.endpoints.values()
-            if selectors.endpoint_matches(selector, endpoint.labels)
-        ]
-        if len(matching) <= self._own.subset_size:
-            return matching
-        return subsets.subset(self._own.name, matching, self._own.subset_size)
+        """Returns the endpoints of a selector that this entry uses.
+
+        Computed once for each state of the declarations; requests only look
+        it up.
+        """
+        view = self._feed.view
+        if view is not self._subsets_of:
+            self._subsets_of = view
+            self._subsets = self._choose_subsets(view)
+        return self._subsets.get(selector.name, [])
+
+    def _choose_subsets(self, view: view_lib.View) -> dict[str, list[str]]:
+        matching = {
+            selector.name: tuple(
+                endpoint.name
+                for endpoint in view.endpoints.values()
+                if selectors.endpoint_matches(selector, endpoint.labels)
+            )
+            for selector in view.selectors
+        }
+        sets = set(matching.values())
+        share = self._own.link_budget // max(1, len(sets))
+        size = max(_LEAST_SUBSET, share)
+        chosen = {
+            names: subsets.subset(self._own.name, names, size) for names in sets
+        }
+        return {name: chosen[names] for name, names in matching.items()}
 
     def _takes_work(self, endpoint: str) -> bool:
         instance = self._members.agents.get(endpoint)
--- a/libs/godwitdale/src/godwitdale/settings.py
+++ b/libs/godwitdale/src/godwitdale/settings.py
@@ -79,7 +79,8 @@
         peer_tls: TLS towards agents, or None for plain TCP.
         statsd: Where metrics go, or None.
         heartbeat: Times of the links.
-        subset_size: Endpoints of one selector that this entry connects to.
+        link_budget: Links to agents that this entry keeps, shared by the
+            sets of endpoints that selectors name.
         most_body_bytes: Largest body of a request.
         most_backlog_bytes: Answer bytes kept for a slow caller.
         most_buffered_bytes: Largest answer that is checked before it is sent.
@@ -97,7 +98,7 @@
     peer_tls: PeerTls | None = None
     statsd: Statsd | None = None
     heartbeat: Heartbeat = Heartbeat()
-    subset_size: Count = 64
+    link_budget: Count = 150
     most_body_bytes: Count = 1_048_576
     most_backlog_bytes: Count = 1_048_576
     most_buffered_bytes: Count = 1_048_576
--- a/libs/godwitdale/src/godwitdale/testing.py
+++ b/libs/godwitdale/src/godwitdale/testing.py
@@ -14,6 +14,7 @@
 import os
 import pathlib
 import signal
+import ssl
 import subprocess
 import sys
 import time
@@ -62,6 +63,7 @@
     body: Any = None,
     headers: dict[str, str] | None = None,
     timeout_s: float = _ANSWER_S,
+    context: ssl.SSLContext | None = None,
 ) -> Answer:
     """Sends one HTTP request on a connection of its own.
 
@@ -71,8 +73,9 @@
         body: Bytes as they are, anything else as JSON, None for no body.
         headers: Headers to send.
         timeout_s: Time between two bytes.
+        context: How to verify an ``https`` URL.
     """
-    with _opened(url, method, body, headers, timeout_s) as response:
+    with _opened(url, method, body, headers, timeout_s, context) as response:
         data = response.read()
         return Answer(response.status, _headers_of(response), data)
 
@@ -103,11 +106,19 @@
     body: Any,
     headers: dict[str, str] | None,
     timeout_s: float,
+    context: ssl.SSLContext | None = None,
 ) -> Iterator[http.client.HTTPResponse]:
     parts = urllib.parse.urlsplit(url)
-    connection = http.client.HTTPConnection(
-        parts.hostname or HOST, parts.port, timeout=timeout_s
-    )
+    host = parts.hostname or HOST
+    connection: http.client.HTTPConnection
+    if context is None:
+        connection = http.client.HTTPConnection(
+            host, parts.port, timeout=timeout_s
+        )
+    else:
+        connection = http.client.HTTPSConnection(
+            host, parts.port, timeout=timeout_s, context=context
+        )
     data = body
     if body is not None and not isinstance(body, bytes):
         data = msgspec.json.encode(body)
@@ -330,6 +341,15 @@
         self._launch_daemon(kind, name)
         self.processes[name].wait_listening()
 
+    def reconfigure(self, name: str, **settings: Any) -> None:
+        """Restarts a daemon with some settings changed; waits until ready."""
+        self.kill(name)
+        self._settings[name].update(settings)
+        self.restart(name)
+        self.wait_until(
+            lambda: self.status(name)["state"] == "ready", f"{name} is ready"
+        )
+
     def list_as(self, name: str, state: str) -> None:
         """Changes what the instance list says of a daemon."""
         self._listed[name]["state"] = state
--- a/libs/link/src/godwitdale_link/server.py
+++ b/libs/link/src/godwitdale_link/server.py
@@ -17,6 +17,7 @@
 from godwitdale_link import messages
 
 _MOST_REMEMBERED_IDS = 50_000
+_FIRST_DATA_FRAME = 1
 
 
 class Handler(Protocol):
@@ -104,9 +105,15 @@
         self._server.publish(self, self.log.head(status, headers, queued_s))
 
     def data(self, data: bytes) -> None:
-        """Passes on a part of the body, together with what follows soon."""
+        """Passes on a part of the body, together with what follows soon.
+
+        The first part goes at once: a caller waits for nothing as much.
+        """
         self._pending.append(data)
-        self._server.flush_later(self)
+        if self.log.next_frame == _FIRST_DATA_FRAME:
+            self.flush()
+        else:
+            self._server.flush_later(self)
 
     def flush(self) -> None:
         """Passes on what has waited."""
--- a/libs/platform/src/godwitdale_platform/instances.py
+++ b/libs/platform/src/godwitdale_platform/instances.py
@@ -1,6 +1,7 @@
 """Client of the platform's lagging list of instances.
 
-``GET /instances`` returns a JSON list of ``Instance``.
+``GET /instances`` returns a JSON list of ``Instance`` with an ``ETag``, and
+answers 304 to ``If-None-Match`` while the list is the same.
 """
 
 from typing import Any
@@ -11,6 +12,7 @@
 import treq
 
 _OK = 200
+_NOT_MODIFIED = 304
 
 
 class Instance(msgspec.Struct, frozen=True):
@@ -52,23 +54,35 @@
         """
         self._url = base_url.rstrip("/") + "/instances"
         self._timeout_s = timeout_s
+        self._tag: str | None = None
+        self._last: list[Instance] = []
 
     async def fetch(self, reactor: Any = None) -> list[Instance]:
         """Returns the list as the platform has it at the moment.
 
+        An unchanged list is not sent again: at the planned size it has some
+        hundred kilobytes, and it changes every few minutes.
+
         Raises:
             exceptions.PlatformUnavailableError: The list does not answer.
         """
         try:
             response = await treq.get(
-                self._url, timeout=self._timeout_s, reactor=reactor
+                self._url,
+                timeout=self._timeout_s,
+                reactor=reactor,
+                headers={"If-None-Match": self._tag} if self._tag else {},
             )
             body = await treq.content(response)
+            if response.code == _NOT_MODIFIED:
+                return self._last
             if response.code != _OK:
                 raise exceptions.PlatformUnavailableError(
                     f"the instance list answered {response.code}"
                 )
-            return _decoder.decode(body)
+            self._last = _decoder.decode(body)
+            self._tag = response.headers.getRawHeaders("ETag", [None])[0]
+            return self._last
         except exceptions.PlatformUnavailableError:
             raise
         except Exception as failed:
--- a/libs/standins/src/godwitdale_standins/engine.py
+++ b/libs/standins/src/godwitdale_standins/engine.py
@@ -318,6 +318,10 @@
             "running": len(self._running),
             "waiting": len(self._waiting),
             "step_s": self._step_s(),
+            "rank_step_s": [
+                self.shape.step_s * self.faults.slow_ranks.get(str(rank), 1.0)
+                for rank in range(self.shape.ranks)
+            ],
         }
         self._reports.append((self._reactor.seconds(), report))
 
--- a/libs/standins/src/godwitdale_standins/instance_list.py
+++ b/libs/standins/src/godwitdale_standins/instance_list.py
@@ -2,6 +2,7 @@
 
 import collections
 from typing import Any
+import zlib
 
 import klein
 import msgspec
@@ -74,6 +75,15 @@
         if self.faults.down:
             request.setResponseCode(503)
             return b""
+        found = self._as_seen_now()
+        tag = f'"{zlib.crc32(found):08x}"'
+        request.setHeader("ETag", tag)
+        if request.getHeader("if-none-match") == tag:
+            request.setResponseCode(304)
+            return b""
+        return found
+
+    def _as_seen_now(self) -> bytes:
         if self.faults.frozen:
             return self._frozen
         asked_s = self._reactor.seconds() - self.faults.lag_s
--- /dev/null
+++ b/tests/system/test_tls.py
@@ -0,0 +1,79 @@
+"""TLS for callers, mutual TLS between entries and agents, and reloading."""
+
+import shutil
+import ssl
+
+import builders
+import certificates
+from godwitdale import testing
+
+
+def ask(cluster, authority):
+    context = ssl.create_default_context(cafile=authority.file)
+    url = cluster.entry_url().replace("http://", "https://")
+    return testing.ask(
+        url + builders.CHAT_PATH,
+        "POST",
+        builders.chat(tokens=3),
+        cluster.headers("buyer"),
+        context=context,
+    )
+
+
+def presented_by(cluster):
+    port = cluster.processes["entry-1"].port
+    return ssl.get_server_certificate((testing.HOST, port))
+
+
+def test_a_request_goes_through_tls_and_certificates_are_reloaded(tmp_path):
+    authority = certificates.Authority(tmp_path)
+    peers = {"authority": authority.file}
+    callers = authority.issue("callers")
+    plan = testing.Plan(
+        declared=builders.declared(engines=1, apps=0),
+        entries=1,
+        entry_extra={
+            "caller_tls": callers,
+            "peer_tls": {**authority.issue("entry"), **peers},
+        },
+        agent_extra={"peer_tls": {**authority.issue("agent"), **peers}},
+    )
+    with testing.Cluster(plan, tmp_path) as cluster:
+        assert ask(cluster, authority).status == 200
+        before = presented_by(cluster)
+        fresh = authority.issue("fresh")
+        for part in ("key", "certificate"):
+            shutil.copy(fresh[part], callers[part])
+        cluster.wait_until(
+            lambda: presented_by(cluster) != before, "a new certificate"
+        )
+        assert ask(cluster, authority).status == 200
+
+
+def test_an_agent_refuses_an_entry_of_another_authority(tmp_path):
+    ours = certificates.Authority(tmp_path, "ours")
+    theirs = certificates.Authority(tmp_path, "theirs")
+    plan = testing.Plan(
+        declared=builders.declared(engines=1, apps=0),
+        entries=2,
+        agent_extra={
+            "peer_tls": {**ours.issue("agent"), "authority": ours.file}
+        },
+        entry_extra={
+            "peer_tls": {**ours.issue("entry"), "authority": ours.file}
+        },
+    )
+    with testing.Cluster(plan, tmp_path) as cluster:
+        stranger = {**theirs.issue("stranger"), "authority": ours.file}
+        cluster.reconfigure("entry-2", peer_tls=stranger)
+        answer = testing.ask(
+            cluster.entry_url(2) + builders.CHAT_PATH,
+            "POST",
+            builders.chat(),
+            cluster.headers("buyer"),
+        )
+        assert answer.status in (502, 503)
+        assert answer.verdict == "not-run"
+        assert not any(
+            link["open"] for link in cluster.status("entry-2")["links"]
+        )
--- a/tests/unit/test_files.py
+++ b/tests/unit/test_files.py
@@ -33,7 +33,7 @@
 
 def test_settings_show_their_defaults(tmp_path):
     shown = json.loads(settings.show(load_entry(tmp_path)))
-    assert shown["subset_size"] == 64
+    assert shown["link_budget"] == 150
     assert shown["heartbeat"]["interval_s"] == 1.0
 
 
@@ -42,7 +42,7 @@
         load_entry(
             tmp_path,
             listen={"host": "localhost", "port": 70_000},
-            subset_sise=3,
+            link_budged=3,
             most_attempts=0,
             peer_tls={"certificate": "/no/such", "key": "k"},
         )
@@ -51,7 +51,7 @@
     for part in (
         "$.listen.host: found 'localhost'; expected an IP number",
         "$.listen.port: found 70000",
-        "$.subset_sise: found unknown field",
+        "$.link_budged: found unknown field",
         "$.most_attempts: found 0",
         "$.peer_tls.authority: found nothing",
         "$.peer_tls.certificate: found '/no/such'",
--- /dev/null
+++ b/tools/capacity.py
@@ -0,0 +1,229 @@
+"""Works out the tables of docs/CAPACITY.md from measured slopes.
+
+Usage: ``python tools/capacity.py docs/slopes.json docs/path.json`` prints the
+tables; with ``--write docs/CAPACITY.md`` it replaces what stands between the
+markers there.
+"""
+
+import argparse
+import dataclasses
+import json
+import pathlib
+
+_START = "<!-- computed: start -->"
+_END = "<!-- computed: end -->"
+_SECONDS_PER_DAY = 86_400
+_CORE_LIMIT = 0.012
+_MEMORY_LIMIT_MB = 128
+_BYTES_LIMIT = 20_000
+_MB = 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """The planned size, from letter 1 and the settings that go with it."""
+
+    entries: int = 380
+    runners: int = 3000
+    accounts: int = 2000
+    models: int = 19
+    selectors: int = 100
+    peak_requests_per_s: float = 5400.0
+    peak_tokens_per_s: float = 1.5e6
+    changes_per_day: float = 11_000.0
+    failures_per_day: float = 49.0
+    replacements_per_day: float = 230.0
+    link_budget: int = 150
+    heartbeat_s: float = 2.0
+    tcp_ip_bytes: float = 4 * 54.0
+    keyed_share: float = 0.01
+    key_window_s: float = 12 * 3600.0
+    partitions: int = 64
+    claim_interval_s: float = 0.25
+    keyed_endpoints: int = 150
+    long_poll_s: float = 5.0
+
+
+def _row(*cells):
+    return "| " + " | ".join(str(cell) for cell in cells) + " |"
+
+
+def _mark(value, limit, form):
+    return f"{value:{form}}" + ("" if value <= limit else " **over**")
+
+
+def control_table(slopes, plan):
+    """Returns the lines of the control budget, an entry and an agent."""
+    objects = plan.accounts + plan.runners + plan.selectors
+    changes_per_s = plan.changes_per_day / _SECONDS_PER_DAY
+    agent_links = plan.entries * plan.link_budget / plan.runners
+    rebuild_us = (
+        slopes["fold_us"]
+        + objects * slopes["view_us_per_object"]
+        + plan.models
+        * (plan.runners / plan.models)
+        * slopes["subset_us_per_endpoint"]
+    )
+    list_changes = 2 * (plan.failures_per_day + plan.replacements_per_day)
+    list_bytes = (plan.entries + plan.runners) * slopes["instance_bytes"]
+    lines = [
+        _row("role", "links", "core", "memory MB", "bytes/s"),
+        _row("---", "---", "---", "---", "---"),
+        _row("limit", "", _CORE_LIMIT, _MEMORY_LIMIT_MB, f"{_BYTES_LIMIT:,}"),
+    ]
+    for role, links, beat_us, share in (
+        ("entry", plan.link_budget, slopes["link_entry_us"], 1.0),
+        ("agent", agent_links, slopes["link_agent_us"], 0.0),
+    ):
+        beats_per_s = links / plan.heartbeat_s
+        core = (beats_per_s * beat_us + changes_per_s * rebuild_us) / 1_000_000
+        memory = (
+            slopes["process_mb"]
+            + objects * slopes["object_bytes"] / _MB
+            + links * slopes["link_entry_memory_bytes"] / _MB
+            + (plan.entries + plan.runners) * 600 / _MB
+        )
+        wire = beats_per_s * (slopes["link_bytes"] + plan.tcp_ip_bytes)
+        wire += changes_per_s * slopes["record_bytes"] * (1 + 2 * share)
+        wire += list_bytes * list_changes / _SECONDS_PER_DAY
+        lines.append(
+            _row(
+                role,
+                f"{links:.0f}",
+                _mark(core, _CORE_LIMIT, ".4f"),
+                _mark(memory, _MEMORY_LIMIT_MB, ".0f"),
+                _mark(wire, _BYTES_LIMIT, ",.0f"),
+            )
+        )
+    return lines
+
+
+def log_table(slopes, plan):
+    """Returns the lines of the load on the platform's log."""
+    keyed_per_s = plan.peak_requests_per_s * plan.keyed_share
+    homes = min(plan.partitions, plan.keyed_endpoints)
+    batches_per_s = min(2 * keyed_per_s, homes / plan.claim_interval_s)
+    keys_kept = keyed_per_s * plan.key_window_s
+    start_bytes = 2 * keys_kept / plan.partitions * slopes["claim_bytes"]
+    changes_per_s = plan.changes_per_day / _SECONDS_PER_DAY
+    objects = plan.accounts + plan.runners + plan.selectors
+    snapshot_mb = objects * slopes["snapshot_bytes_per_object"] / _MB
+    snapshots = plan.changes_per_day / 1000
+    lines = [
+        _row("stream", "appends/s", "reads/s", "what else"),
+        _row("---", "---", "---", "---"),
+        _row(
+            "declarations",
+            f"{changes_per_s:.2f}",
+            f"{plan.entries / plan.long_poll_s:.0f} (long polls of entries)",
+            f"{snapshots:.0f} snapshots a day of {snapshot_mb:.1f} MB, in "
+            f"{-(-objects // 200)} records each",
+        ),
+        _row(
+            f"claims, {plan.keyed_share:.0%} of requests keyed",
+            f"{batches_per_s:.0f} (of {2 * keyed_per_s:.0f} entries/s)",
+            f"{batches_per_s:.0f}",
+            f"{keys_kept:,.0f} keys kept; one partition "
+            f"{keys_kept / plan.partitions * slopes['key_bytes'] / _MB:.0f} "
+            f"MB in memory, {start_bytes / _MB:.0f} MB to read at a start",
+        ),
+        _row("all", f"{changes_per_s + batches_per_s:.0f}", "", ""),
+    ]
+    return lines
+
+
+def work_table(path, plan):
+    """Returns the lines of the work on requests, an entry at the peak."""
+    cost = next(r for r in path if "Cost" in r["title"])
+    cells = dict(zip(cost["header"], cost["rows"][0], strict=True))
+    tokens_per_s = plan.peak_tokens_per_s / plan.entries
+    requests_per_s = plan.peak_requests_per_s / plan.entries
+    core = tokens_per_s * cells["entry us/token"] / 1_000_000
+    agent_tokens = plan.peak_tokens_per_s / plan.runners
+    agent_core = agent_tokens * cells["agent us/token"] / 1_000_000
+    return [
+        _row("role", "requests/s", "tokens/s", "us/token", "cores"),
+        _row("---", "---", "---", "---", "---"),
+        _row(
+            "entry",
+            f"{requests_per_s:.1f}",
+            f"{tokens_per_s:,.0f}",
+            f"{cells['entry us/token']:.0f}",
+            f"{core:.2f}",
+        ),
+        _row(
+            "agent",
+            f"{plan.peak_requests_per_s / plan.runners:.1f}",
+            f"{agent_tokens:,.0f}",
+            f"{cells['agent us/token']:.0f}",
+            f"{agent_core:.2f}",
+        ),
+    ]
+
+
+def spread_table(slopes, plan):
+    """Returns the lines of how fast a change is in force."""
+    objects = plan.accounts + plan.runners + plan.selectors
+    rebuild_s = objects * slopes["view_us_per_object"] / 1_000_000
+    agent_s = plan.heartbeat_s * 2 + rebuild_s
+    lone_s = 8.0 + rebuild_s
+    return [
+        _row("way of a change", "at most s"),
+        _row("---", "---"),
+        _row("limit", 13),
+        _row(
+            "entry with the log: long poll, fold, rebuild", f"{rebuild_s:.2f}"
+        ),
+        _row("agent: next heartbeat, fetch, fold", f"{agent_s:.2f}"),
+        _row(
+            "agent without any entry: its own look at the log", f"{lone_s:.2f}"
+        ),
+        _row(
+            "entry cut off from the log: heartbeat of an agent that a peer "
+            "told",
+            f"{2 * plan.heartbeat_s + agent_s:.2f}",
+        ),
+    ]
+
+
+def tables(slopes, path, plan):
+    """Returns all tables as Markdown."""
+    parts = [
+        "### Control, an ordinary day",
+        *control_table(slopes, plan),
+        "",
+        "### The platform's log at the peak",
+        *log_table(slopes, plan),
+        "",
+        "### Requests at the peak",
+        *work_table(path, plan),
+        "",
+        "### A change in force",
+        *spread_table(slopes, plan),
+    ]
+    return "\n".join(parts)
+
+
+def main():
+    """Prints the tables or writes them between the markers of a page."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("slopes", type=pathlib.Path)
+    parser.add_argument("path", type=pathlib.Path)
+    parser.add_argument("--write", type=pathlib.Path)
+    arguments = parser.parse_args()
+    text = tables(
+        json.loads(arguments.slopes.read_text()),
+        json.loads(arguments.path.read_text()),
+        Plan(),
+    )
+    if arguments.write is None:
+        print(text)
+        return
+    page = arguments.write.read_text()
+    head, _, rest = page.partition(_START)
+    _, _, tail = rest.partition(_END)
+    arguments.write.write_text(f"{head}{_START}\n{text}\n{_END}{tail}")
+
+
+if __name__ == "__main__":
+    main()
