Annotate the capacity script; hand the reactor to caller requests

Cause: the linter's annotations were missing in one file, and callers.py took the global reactor where the composition root has one to pass. Change: annotations, and the reactor as a class attribute of the site's request.

--- a/libs/godwitdale/src/godwitdale/callers.py
+++ b/libs/godwitdale/src/godwitdale/callers.py
@@ -16,7 +16,6 @@
 from godwitdale_verdicts import outcomes
 import klein
 import msgspec
-from twisted.internet import reactor as chosen_reactor
 from twisted.web import server
 import uuid_utils
 
@@ -34,7 +33,6 @@
 _FUTURE_KEY_S = 60.0
 _LINGER_S = 2.0
 _ACCOUNT_HEADER = "godwitdale-account"
-default_reactor: Any = chosen_reactor
 _STRIPPED = backend.HOP_BY_HOP | {
     "authorization",
     "idempotency-key",
@@ -94,6 +92,7 @@
     """A request whose body is refused as soon as it is too large."""
 
     most_body_bytes = 0
+    reactor: Any = None
     content: Any
     channel: Any
 
@@ -126,7 +125,7 @@
         channel = self.channel
         channel.dataReceived = _drop
         channel.setTimeout(None)
-        default_reactor.callLater(_LINGER_S, channel.loseConnection)
+        self.reactor.callLater(_LINGER_S, channel.loseConnection)
 
 
 def _drop(data: bytes) -> None:
@@ -165,9 +164,11 @@
     def site(self) -> server.Site:
         """Returns the factory to listen with."""
         bound = self._bounds.body_bytes
+        clock = self._tools.reactor
 
         class Request(BoundedRequest):
             most_body_bytes = bound
+            reactor = clock
 
         site = server.Site(self.app.resource(), timeout=60)
         site.requestFactory = Request
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -9,6 +9,7 @@
 import dataclasses
 import json
 import pathlib
+from typing import Any
 
 _START = "<!-- computed: start -->"
 _END = "<!-- computed: end -->"
@@ -19,6 +20,10 @@
 _MB = 1024 * 1024
 
 
+Slopes = dict[str, float]
+Results = list[dict[str, Any]]
+
+
 @dataclasses.dataclass(frozen=True)
 class Plan:
     """The planned size, from letter 1 and the settings that go with it."""
@@ -44,15 +49,15 @@
     long_poll_s: float = 5.0
 
 
-def _row(*cells):
+def _row(*cells: object) -> str:
     return "| " + " | ".join(str(cell) for cell in cells) + " |"
 
 
-def _mark(value, limit, form):
+def _mark(value: float, limit: float, form: str) -> str:
     return f"{value:{form}}" + ("" if value <= limit else " **over**")
 
 
-def control_table(slopes, plan):
+def control_table(slopes: Slopes, plan: Plan) -> list[str]:
     """Returns the lines of the control budget, an entry and an agent."""
     objects = plan.accounts + plan.runners + plan.selectors
     changes_per_s = plan.changes_per_day / _SECONDS_PER_DAY
@@ -98,7 +103,7 @@
     return lines
 
 
-def log_table(slopes, plan):
+def log_table(slopes: Slopes, plan: Plan) -> list[str]:
     """Returns the lines of the load on the platform's log."""
     keyed_per_s = plan.peak_requests_per_s * plan.keyed_share
     homes = min(plan.partitions, plan.keyed_endpoints)
@@ -109,7 +114,7 @@
     objects = plan.accounts + plan.runners + plan.selectors
     snapshot_mb = objects * slopes["snapshot_bytes_per_object"] / _MB
     snapshots = plan.changes_per_day / 1000
-    lines = [
+    return [
         _row("stream", "appends/s", "reads/s", "what else"),
         _row("---", "---", "---", "---"),
         _row(
@@ -129,10 +134,9 @@
         ),
         _row("all", f"{changes_per_s + batches_per_s:.0f}", "", ""),
     ]
-    return lines
 
 
-def work_table(path, plan):
+def work_table(path: Results, plan: Plan) -> list[str]:
     """Returns the lines of the work on requests, an entry at the peak."""
     cost = next(r for r in path if "Cost" in r["title"])
     cells = dict(zip(cost["header"], cost["rows"][0], strict=True))
@@ -161,7 +165,7 @@
     ]
 
 
-def spread_table(slopes, plan):
+def spread_table(slopes: Slopes, plan: Plan) -> list[str]:
     """Returns the lines of how fast a change is in force."""
     objects = plan.accounts + plan.runners + plan.selectors
     rebuild_s = objects * slopes["view_us_per_object"] / 1_000_000
@@ -186,7 +190,7 @@
     ]
 
 
-def tables(slopes, path, plan):
+def tables(slopes: Slopes, path: Results, plan: Plan) -> str:
     """Returns all tables as Markdown."""
     parts = [
         "### Control, an ordinary day",
@@ -204,7 +208,7 @@
     return "\n".join(parts)
 
 
-def main():
+def main() -> None:
     """Prints the tables or writes them between the markers of a page."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("slopes", type=pathlib.Path)
