Let agents lead their group and switch its expert map

Ruled out: promises through the log (256 appends a move and group would take 98 of its several hundred appends a second for 23 groups moving once a minute); they go over links between agents, after the proposal stands in the log. Change: each agent of a group folds the group's stream and serves its rank; the holder of the lease plans, proposes, collects promises and appends the decision. A rank that joins anew is given the map before the latest proposal, that proposal and its decision, read while the group stands still: with the decided map alone it would have run the new map before the switch step. The stand-in of a group records the map of every rank in every step. Entries and agents share one base; hosts of links share another. Before: no process switched maps.

--- a/libs/godwitdale/src/godwitdale/agent.py
+++ b/libs/godwitdale/src/godwitdale/agent.py
@@ -1,43 +1,34 @@
-"""The agent daemon: its composition root and its tasks."""
+"""The agent daemon: its composition root."""
 
-import random
 import statistics
+import time
 from typing import Any
 
 from godwitdale_link import server as link_server
 from godwitdale_observe import histograms
 from godwitdale_observe import logs
-from godwitdale_observe import metrics as metrics_lib
 from godwitdale_platform import backend as backend_lib
-from godwitdale_platform import instances as instances_lib
-from godwitdale_platform import log as log_lib
-from godwitdale_verdicts import identifiers
 from twisted.internet import defer
 from twisted.internet import task
 
-from godwitdale import admin
 from godwitdale import claiming
+from godwitdale import daemon
 from godwitdale import execution
-from godwitdale import feed as feed_lib
-from godwitdale import lifecycle
-from godwitdale import membership as membership_lib
+from godwitdale import grouping
+from godwitdale import peers as peers_lib
 from godwitdale import settings as settings_lib
 from godwitdale import tls
 
-_MOST_ACCOUNT_HISTOGRAMS = 32
-_TICK_S = 0.25
 _LOAD_TIMEOUT_S = 2.0
+_STEPS_CLASS = "steps"
 
 
-class AgentDaemon:
-    """One agent. Construct it, ``start`` it, let its life cycle stop it.
+class AgentDaemon(daemon.Daemon):
+    """One agent: the only door to its endpoint."""
 
-    Attributes:
-        incarnation: Random name of this life of the process.
-        life: The life cycle; signals call its ``stop``.
-        port: The entries' port, once started.
-        admin_port: The admin port, once started.
-    """
+    ROLE = "agent"
+    TICK_S = 0.25
+    MOST_ACCOUNT_HISTOGRAMS = 32
 
     def __init__(self, own: settings_lib.Agent, reactor: Any) -> None:
         """Wires the parts; nothing listens yet.
@@ -46,25 +37,11 @@
             own: The settings.
             reactor: The Twisted reactor.
         """
-        rng = random.Random()
-        self.incarnation = identifiers.new_incarnation()
+        super().__init__(own, reactor, reads_always=False)
         self._own = own
-        self._reactor = reactor
-        platform = own.platform
-        log = log_lib.HttpLog(platform.log_url, reactor, platform.timeout_s)
-        self._feed = feed_lib.DeclarationFeed(
-            log, reactor, rng, reads_always=False
-        )
-        self._members = membership_lib.Membership(
-            instances_lib.HttpInstanceList(
-                platform.instances_url, platform.timeout_s
-            ),
-            reactor,
-            rng,
-            platform.poll_s,
-        )
+        self._is_stopping = False
         self._claims = claiming.ClaimKeeper(
-            log,
+            self._log,
             reactor,
             own.claim_interval_s,
             lambda: self._feed.view.policy.key_window_s,
@@ -72,47 +49,44 @@
         self._backend = backend_lib.Backend(
             own.backend.url, reactor, own.backend.connect_s
         )
-        self._histograms = histograms.Histograms(_MOST_ACCOUNT_HISTOGRAMS)
         self._executor = self._make_executor()
-        self._server = link_server.LinkServer(
+        self._server = self._make_server()
+        self._executor.attach(self._server)
+        self._peers = peers_lib.Peers(
             self.incarnation,
-            own.endpoint,
-            self._executor,
+            self._feed,
+            self._members,
+            tls.Dialler(reactor, own.peer_tls),
             reactor,
-            link_server.Keeping(
-                linger_s=own.linger_s,
-                orphan_s=own.orphan_s,
-                coalesce_s=own.coalesce_s,
-            ),
         )
-        self._executor.attach(self._server)
-        self._admin = admin.AdminApi(self._is_ready, self.status)
-        self.life = lifecycle.LifeCycle(
-            self, reactor, own.drain_limit_s, reactor.stop
-        )
-        self._ticker = task.LoopingCall(self._tick)
-        self._ticker.clock = reactor
-        self._is_stopping = False
-        self._listening: list[Any] = []
-        self.port = 0
-        self.admin_port = 0
+        self._keeper = self._make_keeper()
+        self._executor.answer_calls(grouping.PREPARE_CALL, self._keeper.prepare)
+
+    def factory(self) -> Any:
+        """Returns what makes protocols for entries."""
+        return self._server
+
+    def context(self) -> Any | None:
+        """Returns the TLS context that entries meet, or None."""
+        if self._own.peer_tls is None:
+            return None
+        return tls.agent_context(self._own.peer_tls)
 
     def start(self) -> None:
         """Listens and starts the tasks."""
-        own = self._own
-        context = tls.agent_context(own.peer_tls) if own.peer_tls else None
-        link_port = tls.listen(self._reactor, own.listen, self._server, context)
-        admin_port = tls.listen(
-            self._reactor, own.admin, self._admin.site(), None
-        )
-        self._listening = [link_port, admin_port]
-        self.port = link_port.getHost().port
-        self.admin_port = admin_port.getHost().port
-        defer.ensureDeferred(self._feed.run())
-        defer.ensureDeferred(self._members.run())
-        if own.backend.kind == "engine":
+        super().start()
+        defer.ensureDeferred(self._keeper.run())
+        if self._own.backend.kind == "engine":
             defer.ensureDeferred(self._watch_engine())
-        self._ticker.start(_TICK_S)
+
+    def tick(self) -> None:
+        """Refuses what is late, starts what fits, and notices leave notices."""
+        self._executor.expire()
+        self._executor.pump()
+        if self._is_stopping or self._is_told_to_leave():
+            self._executor.leave()
+        else:
+            self._executor.stay()
 
     def drain(self) -> None:
         """Refuses new work; what is in flight goes on."""
@@ -133,83 +107,75 @@
 
     def close(self) -> None:
         """Closes sockets and tasks."""
-        self._ticker.stop()
-        self._feed.stop()
-        self._members.stop()
-        for port in self._listening:
-            port.stopListening()
+        super().close()
+        self._keeper.stop()
+        self._peers.close()
         self._server.close()
 
+    def is_ready(self) -> bool:
+        """Tells whether new work is taken."""
+        return super().is_ready() and not self._executor.is_leaving
+
     def status(self) -> dict[str, Any]:
         """Returns what ``godwitdale status`` shows."""
         return {
-            "instance": self._own.name,
-            "role": "agent",
-            "zone": self._own.zone,
+            **super().status(),
             "endpoint": self._own.endpoint,
-            "incarnation": self.incarnation,
-            "state": self.life.state,
             "in_flight": self._executor.in_flight,
             "log_appends": self._claims.appends,
-            "declarations": {
-                "next_offset": self._feed.position().next_offset,
-                "age_s": round(self._feed.age_s, 3),
-                "objects": len(self._feed.fold.state.objects),
-            },
-            "histograms": self._histograms.rows(),
+            "is_leading_group": self._keeper.is_leading,
         }
 
+    def _is_told_to_leave(self) -> bool:
+        if self._members.is_leaving(self._own.name):
+            return True
+        view = self._feed.view
+        is_declared = self._own.endpoint in view.endpoints
+        return is_declared and view.is_leaving(self._own.endpoint)
+
     def _make_executor(self) -> execution.Executor:
-        own = self._own
-        statsd = own.statsd
         parts = execution.Parts(
             reactor=self._reactor,
             feed=self._feed,
             claims=self._claims,
             backend=self._backend,
             histograms=self._histograms,
-            metrics=metrics_lib.connect(
-                statsd.host if statsd else None,
-                statsd.port if statsd else 0,
-                statsd.prefix if statsd else "",
-            ),
+            metrics=self._metrics,
             events=logs.EventLog(),
         )
         return execution.Executor(
             parts,
             self.incarnation,
-            own.backend.slots,
-            own.backend.service_s,
-            own.catch_up_s,
+            self._own.backend.slots,
+            self._own.backend.service_s,
+            self._own.catch_up_s,
         )
 
-    def _is_ready(self) -> bool:
-        is_taking = not self._executor.is_leaving
-        return self.life.state == "ready" and is_taking
-
-    def _tick(self) -> None:
-        if self._feed.is_started:
-            self.life.started()
-        self._executor.expire()
-        self._executor.pump()
-        self._histograms.settle()
-        is_leaving = self._members.is_leaving(self._own.name)
-        is_drained = self._own.endpoint in self._feed.view.endpoints and (
-            self._feed.view.is_leaving(self._own.endpoint)
+    def _make_server(self) -> link_server.LinkServer:
+        keeping = link_server.Keeping(
+            linger_s=self._own.linger_s,
+            orphan_s=self._own.orphan_s,
+            coalesce_s=self._own.coalesce_s,
+        )
+        return link_server.LinkServer(
+            self.incarnation,
+            self._own.endpoint,
+            self._executor,
+            self._reactor,
+            keeping,
         )
-        if self._is_stopping or is_leaving or is_drained:
-            self._executor.leave()
-        else:
-            self._executor.stay()
 
-    def _take_load(self, load: dict[str, Any]) -> None:
-        self._executor.step_s = float(load.get("step_s", 0.0))
-        rank_step_s = load.get("rank_step_s")
-        if rank_step_s:
-            skew_s = max(rank_step_s) - statistics.fmean(rank_step_s)
-            self._histograms.record(
-                histograms.Metric.SKEW, "steps", self._own.endpoint, skew_s
-            )
+    def _make_keeper(self) -> grouping.GroupKeeper:
+        return grouping.GroupKeeper(
+            self._own.endpoint,
+            self.incarnation,
+            self._feed,
+            self._log,
+            self._backend,
+            self._peers,
+            self._reactor,
+            time.time,
+        )
 
     async def _watch_engine(self) -> None:
         """Follows the step time that a lagging engine reports."""
@@ -222,3 +188,12 @@
             await task.deferLater(
                 self._reactor, self._own.backend.load_poll_s, lambda: None
             )
+
+    def _take_load(self, load: dict[str, Any]) -> None:
+        self._executor.step_s = float(load.get("step_s", 0.0))
+        rank_step_s = load.get("rank_step_s")
+        if rank_step_s:
+            skew_s = max(rank_step_s) - statistics.fmean(rank_step_s)
+            self._histograms.record(
+                histograms.Metric.SKEW, _STEPS_CLASS, self._own.endpoint, skew_s
+            )
--- a/libs/godwitdale/src/godwitdale/bench/faults.py
+++ b/libs/godwitdale/src/godwitdale/bench/faults.py
@@ -28,7 +28,7 @@
 
 _ENGINES = 3
 _APPS = 3
-_PER_S = 150.0
+_PER_S = 300.0
 _BOOKING_SHARE = 0.5
 _MOST_ASKS = 6
 _ASK_AGAIN_S = 0.5
--- a/libs/godwitdale/src/godwitdale/bench/slopes.py
+++ b/libs/godwitdale/src/godwitdale/bench/slopes.py
@@ -282,6 +282,9 @@
     def cancel(self, request_id: Any) -> None:
         pass
 
+    def called(self, kind: str, body: bytes) -> Any:
+        raise KeyError(kind)
+
 
 class _StubHost:
     """Takes what links report and does nothing with it."""
--- a/libs/godwitdale/src/godwitdale/execution.py
+++ b/libs/godwitdale/src/godwitdale/execution.py
@@ -1,6 +1,8 @@
 """The agent's handling of requests: queue, claims, the call, the answer."""
 
 import collections
+from collections.abc import Callable
+from collections.abc import Coroutine
 import dataclasses
 from typing import Any
 
@@ -22,90 +24,16 @@
 
 from godwitdale import claiming
 from godwitdale import feed as feed_lib
+from godwitdale import work as work_lib
 
 _RATE_TIME_CONSTANT_S = 5.0
 _MOST_RATES = 2048
 _MOST_REPORTED_ACCOUNTS = 16
 _OUTCOME_PATIENCE_S = 3.0
 _CLAIM_PATIENCE_SHARE = 0.5
-_EVENT_END = b"\n\n"
-_EVENT_STREAM = "text/event-stream"
 _REPLAYED_HEADER = ("Idempotency-Replayed", "true")
 
 
-class Work:
-    """One request at the agent.
-
-    Attributes:
-        submit: The request.
-        sink: Takes its answer.
-        arrived_s: When it came.
-        attempt: Its name in the claim stream, or None without a key.
-        call: The call to the endpoint, once it has started.
-        revoked: Whether it must not start any more.
-    """
-
-    __slots__ = ("submit", "sink", "arrived_s", "attempt", "call", "revoked")
-
-    def __init__(
-        self,
-        submit: messages.Submit,
-        sink: link_server.AnswerSink,
-        arrived_s: float,
-    ) -> None:
-        self.submit = submit
-        self.sink = sink
-        self.arrived_s = arrived_s
-        self.attempt: str | None = None
-        self.call: defer.Deferred[None] | None = None
-        self.revoked = False
-
-
-class AnswerTaker:
-    """Passes an answer on to the link; cuts event streams between events."""
-
-    def __init__(self, work: Work, queued_s: float) -> None:
-        """Prepares to receive.
-
-        Args:
-            work: The request.
-            queued_s: Time that it waited.
-        """
-        self.status = 0
-        self.content_type = ""
-        self.kept = bytearray()
-        self._work = work
-        self._queued_s = queued_s
-        self._is_stream = False
-        self._rest = b""
-
-    def head(self, status: int, headers: messages.Headers) -> None:
-        """Takes status and headers."""
-        self.status = status
-        for name, value in headers:
-            if name.lower() == "content-type":
-                self.content_type = value
-        self._is_stream = self.content_type.startswith(_EVENT_STREAM)
-        self._work.sink.head(status, headers, self._queued_s)
-
-    def data(self, data: bytes) -> None:
-        """Takes a part of the body."""
-        if self._work.attempt is not None:
-            self.kept += data
-        if not self._is_stream:
-            self._work.sink.data(data)
-            return
-        whole, separator, rest = (self._rest + data).rpartition(_EVENT_END)
-        self._rest = rest
-        if separator:
-            self._work.sink.data(whole + separator)
-
-    def finish(self) -> None:
-        """Passes on what stands after the last event, if anything does."""
-        if self._rest:
-            self._work.sink.data(self._rest)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Parts:
     """What an agent's request handling is made of.
@@ -161,13 +89,16 @@
         self._most_running = slots
         self._catch_up_s = catch_up_s
         self._service = admission.ServiceTime(service_s)
-        self._queue: queueing.FairQueue[Work] = queueing.FairQueue()
-        self._work: dict[identifiers.RequestId, Work] = {}
+        self._queue: queueing.FairQueue[work_lib.Work] = queueing.FairQueue()
+        self._work: dict[identifiers.RequestId, work_lib.Work] = {}
         self._running = 0
         self._rates: collections.OrderedDict[str, limits.DecayingCount] = (
             collections.OrderedDict()
         )
         self._server: link_server.LinkServer | None = None
+        self._answers: dict[
+            str, Callable[[bytes], Coroutine[Any, Any, bytes]]
+        ] = {}
 
     def attach(self, server: link_server.LinkServer) -> None:
         """Connects to the link's server, which owns the answers."""
@@ -261,7 +192,7 @@
         self, submit: messages.Submit, sink: link_server.AnswerSink
     ) -> None:
         """Takes a request that has never been seen before."""
-        work = Work(submit, sink, self._parts.reactor.seconds())
+        work = work_lib.Work(submit, sink, self._parts.reactor.seconds())
         self._work[submit.id] = work
         self._count(submit)
         refusal = self._objection(submit)
@@ -299,6 +230,19 @@
         elif work.submit.repeatable:
             work.call.cancel()
 
+    def called(self, kind: str, body: bytes) -> "defer.Deferred[bytes]":
+        """Answers another agent's question."""
+        answer = self._answers.get(kind)
+        if answer is None:
+            return defer.fail(KeyError(kind))
+        return defer.ensureDeferred(answer(body))
+
+    def answer_calls(
+        self, kind: str, answer: Callable[[bytes], Coroutine[Any, Any, bytes]]
+    ) -> None:
+        """Names who answers one kind of question."""
+        self._answers[kind] = answer
+
     def pump(self) -> None:
         """Starts what the endpoint has room for."""
         while self._running < self._most_running:
@@ -337,11 +281,11 @@
             deadline_at_s=arrived_s + submit.deadline_s,
         )
 
-    def _enqueue(self, work: Work) -> None:
+    def _enqueue(self, work: work_lib.Work) -> None:
         self._queue.push(self._ticket(work.submit, work.arrived_s), work)
         self.pump()
 
-    async def _claim(self, work: Work, key: str) -> None:
+    async def _claim(self, work: work_lib.Work, key: str) -> None:
         submit = work.submit
         work.attempt = f"{submit.id}/{self._incarnation}"
         claim = claim_records.Claim(key, work.attempt, _digest_of(submit))
@@ -362,7 +306,7 @@
         await self._decided(work, key, decision)
 
     async def _decided(
-        self, work: Work, key: str, decision: claimant_lib.Decision
+        self, work: work_lib.Work, key: str, decision: claimant_lib.Decision
     ) -> None:
         if isinstance(decision, claimant_lib.Won):
             if work.revoked:
@@ -390,7 +334,7 @@
                 outcomes.not_run(outcomes.Reason.REVOKED, "voided in time"),
             )
 
-    async def _wait_for_other(self, work: Work, key: str) -> None:
+    async def _wait_for_other(self, work: work_lib.Work, key: str) -> None:
         patience_s = min(_OUTCOME_PATIENCE_S, work.submit.deadline_s / 2)
         outcome = await self._parts.claims.wait_for_outcome(key, patience_s)
         if work.revoked:
@@ -406,7 +350,9 @@
             ),
         )
 
-    def _replay(self, work: Work, outcome: claim_records.Outcome) -> None:
+    def _replay(
+        self, work: work_lib.Work, outcome: claim_records.Outcome
+    ) -> None:
         if outcome.status == 0:
             self._refuse(
                 work,
@@ -431,16 +377,16 @@
             work.sink.data(outcome.body)
             self._end(work)
 
-    def _start(self, work: Work) -> None:
+    def _start(self, work: work_lib.Work) -> None:
         self._running += 1
         work.call = defer.Deferred.fromCoroutine(self._run(work))
         work.call.addErrback(self._crashed, work)
 
-    async def _run(self, work: Work) -> None:
+    async def _run(self, work: work_lib.Work) -> None:
         reactor = self._parts.reactor
         started_s = reactor.seconds()
         queued_s = started_s - work.arrived_s
-        taker = AnswerTaker(work, queued_s)
+        taker = work_lib.AnswerTaker(work, queued_s)
         try:
             outcome = await self._parts.backend.call(
                 self._call_of(work, started_s), taker
@@ -454,7 +400,9 @@
         self._conclude(work, taker, outcome)
         self.pump()
 
-    def _call_of(self, work: Work, started_s: float) -> backend_lib.Call:
+    def _call_of(
+        self, work: work_lib.Work, started_s: float
+    ) -> backend_lib.Call:
         submit = work.submit
         left_s = work.arrived_s + submit.timeout_s - started_s
         headers = [
@@ -473,8 +421,8 @@
 
     def _conclude(
         self,
-        work: Work,
-        taker: AnswerTaker,
+        work: work_lib.Work,
+        taker: work_lib.AnswerTaker,
         outcome: backend_lib.CallOutcome,
     ) -> None:
         key = work.submit.key
@@ -510,7 +458,7 @@
                 ),
             )
 
-    def _crashed(self, reason: Any, work: Work) -> None:
+    def _crashed(self, reason: Any, work: work_lib.Work) -> None:
         self._parts.events.warning(
             "request crashed",
             request_id=str(work.submit.id),
@@ -524,23 +472,23 @@
                 ),
             )
 
-    def _withdraw(self, work: Work) -> None:
+    def _withdraw(self, work: work_lib.Work) -> None:
         """Makes sure that a request that has not started never will."""
         work.revoked = True
         if self._queue.remove(work):
             self._release(work)
 
-    def _release(self, work: Work) -> None:
+    def _release(self, work: work_lib.Work) -> None:
         key = work.submit.key
         if key is not None and work.attempt is not None:
             self._parts.claims.release(key, work.attempt)
 
-    def _refuse(self, work: Work, refusal: outcomes.Refusal) -> None:
+    def _refuse(self, work: work_lib.Work, refusal: outcomes.Refusal) -> None:
         self._work.pop(work.submit.id, None)
         self._parts.metrics.incr(f"refused.{refusal.reason.value}")
         work.sink.refuse(refusal)
 
-    def _end(self, work: Work) -> None:
+    def _end(self, work: work_lib.Work) -> None:
         self._work.pop(work.submit.id, None)
         self._parts.metrics.incr("answered")
         work.sink.end()
@@ -556,7 +504,9 @@
         if len(self._rates) > _MOST_RATES:
             self._rates.popitem(last=False)
 
-    def _record(self, work: Work, queued_s: float, took_s: float) -> None:
+    def _record(
+        self, work: work_lib.Work, queued_s: float, took_s: float
+    ) -> None:
         submit = work.submit
         for metric, value_s in (
             (histograms.Metric.QUEUE, queued_s),
--- a/libs/godwitdale/src/godwitdale/fleet.py
+++ b/libs/godwitdale/src/godwitdale/fleet.py
@@ -14,6 +14,7 @@
 from godwitdale_routing import subsets
 
 from godwitdale import feed as feed_lib
+from godwitdale import hosting
 from godwitdale import membership as membership_lib
 from godwitdale import settings as settings_lib
 from godwitdale import tls
@@ -23,7 +24,7 @@
 _LEAST_SUBSET = 4
 
 
-class Fleet:
+class Fleet(hosting.FeedHost):
     """Chooses endpoints and owns one link to each agent in use.
 
     Attributes:
@@ -53,7 +54,7 @@
         self._rates: dict[str, dict[str, float]] = {}
         self._own = own
         self._incarnation = incarnation
-        self._feed = feed
+        super().__init__(feed)
         self._members = members
         self._reactor = reactor
         self._dialler = tls.Dialler(reactor, own.peer_tls)
@@ -148,24 +149,9 @@
             )
         return rows
 
-    def position(self) -> messages.Position:
-        """Returns how far the declarations are folded."""
-        return self._feed.position()
-
-    def agent_seen(self, endpoint: str, position: messages.Position) -> None:
-        """Fetches declarations from an agent that knows more."""
-        if self._feed.peer_seen(position):
-            link = self._links.get(endpoint)
-            if link is not None:
-                link.fetch_declarations(self._feed.position().next_offset)
-
-    def declarations_from(self, next_offset: int) -> messages.Declarations:
-        """Returns what an agent lacks."""
-        return self._feed.declarations_from(next_offset)
-
-    def declarations_received(self, message: messages.Declarations) -> None:
-        """Takes what an agent knows."""
-        self._feed.declarations_received(message)
+    def known_link(self, endpoint: str) -> client.AgentLink | None:
+        """Returns the link to an endpoint's agent, if there is one."""
+        return self._links.get(endpoint)
 
     def load_reported(
         self,
--- /dev/null
+++ b/libs/godwitdale/src/godwitdale/peers.py
@@ -0,0 +1,102 @@
+"""Calls from one agent to other agents, over the same kind of link."""
+
+from typing import Any
+
+from godwitdale_link import client
+from godwitdale_link import messages
+from twisted.internet import defer
+
+from godwitdale import feed as feed_lib
+from godwitdale import hosting
+from godwitdale import membership as membership_lib
+from godwitdale import tls
+
+
+class Peers(hosting.FeedHost):
+    """Keeps links to the agents that were called; a host of links."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        feed: feed_lib.DeclarationFeed,
+        members: membership_lib.Membership,
+        dialler: tls.Dialler,
+        clock: Any,
+    ) -> None:
+        """Starts without links.
+
+        Args:
+            incarnation: The calling agent's incarnation.
+            feed: The declarations.
+            members: The instance list.
+            dialler: Opens connections.
+            clock: A Twisted ``IReactorTime``.
+        """
+        self._incarnation = incarnation
+        super().__init__(feed)
+        self._members = members
+        self._dialler = dialler
+        self._clock = clock
+        self._links: dict[str, tuple[tuple[str, int], client.AgentLink]] = {}
+
+    def call(
+        self, endpoint: str, kind: str, body: bytes, timeout_s: float
+    ) -> "defer.Deferred[bytes]":
+        """Calls another agent.
+
+        Args:
+            endpoint: Name of its endpoint.
+            kind: What is asked.
+            body: The question.
+            timeout_s: How long to wait.
+
+        Returns:
+            Fires with the answer, or fails where none comes in time.
+        """
+        link = self._link(endpoint)
+        if link is None:
+            return defer.fail(ConnectionError(f"{endpoint} is not listed"))
+        return link.call(kind, body).addTimeout(timeout_s, self._clock)
+
+    def close(self) -> None:
+        """Closes all links."""
+        for _, link in self._links.values():
+            link.close()
+        self._links.clear()
+
+    def known_link(self, endpoint: str) -> client.AgentLink | None:
+        """Returns the link to an endpoint's agent, if there is one."""
+        known = self._links.get(endpoint)
+        return known[1] if known is not None else None
+
+    def load_reported(
+        self,
+        endpoint: str,
+        load: messages.Load,
+        accounts: list[tuple[str, float]] | None,
+    ) -> None:
+        """Needs no load."""
+
+    def agent_restarted(self, endpoint: str) -> None:
+        """Needs nothing: calls are repeated by the caller's loop."""
+
+    def _link(self, endpoint: str) -> client.AgentLink | None:
+        instance = self._members.agents.get(endpoint)
+        if instance is None:
+            return None
+        address = (instance.host, instance.port)
+        known = self._links.get(endpoint)
+        if known is not None and known[0] == address:
+            return known[1]
+        if known is not None:
+            known[1].close()
+        link = client.AgentLink(
+            endpoint,
+            self._dialler.endpoint(*address),
+            self._incarnation,
+            self,
+            self._clock,
+            client.Timing(),
+        )
+        self._links[endpoint] = (address, link)
+        return link
--- a/libs/godwitdale/src/godwitdale/settings.py
+++ b/libs/godwitdale/src/godwitdale/settings.py
@@ -14,6 +14,7 @@
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 Url = Annotated[str, msgspec.Meta(pattern=r"^https?://[^/]+/?$")]
+BackendUrl = Annotated[str, msgspec.Meta(pattern=r"^http://[^/]+(/.*)?$")]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Seconds = objects.PositiveSeconds
 
@@ -119,7 +120,7 @@
         load_poll_s: Time between looks at an engine's load.
     """
 
-    url: Url
+    url: BackendUrl
     kind: Literal["engine", "service"]
     slots: Count = 32
     service_s: Seconds = 1.0
--- a/libs/godwitdale/src/godwitdale/testing.py
+++ b/libs/godwitdale/src/godwitdale/testing.py
@@ -433,7 +433,15 @@
             for each in self._plan.declared
             if isinstance(each, objects.Endpoint)
         ]
+        groups = [
+            e for e in self._plan.declared if isinstance(e, objects.Group)
+        ]
+        for group in groups:
+            shape = f"{group.ranks}x{group.experts}x{group.slots_per_rank}"
+            self._launch_standin(f"group-{group.name}", "group", shape)
         for endpoint in endpoints:
+            if "rank" in endpoint.labels:
+                continue
             model = endpoint.labels.get("model")
             self._launch_standin(
                 f"endpoint-{endpoint.name}",
@@ -494,13 +502,13 @@
 
     def _launch_agent(self, endpoint: objects.Endpoint) -> None:
         name = f"agent-{endpoint.name}"
-        is_engine = "model" in endpoint.labels
+        is_engine = bool({"model", "rank"} & set(endpoint.labels))
         zone = endpoint.labels.get("zone", "zone")
         self._settings[name] = {
             **self._common(name, zone),
             "endpoint": endpoint.name,
             "backend": {
-                "url": self.processes[f"endpoint-{endpoint.name}"].url,
+                "url": self._backend_url(endpoint),
                 "kind": "engine" if is_engine else "service",
                 "slots": self._plan.slots,
                 "service_s": 0.5 if is_engine else 0.05,
@@ -509,6 +517,12 @@
         }
         self._launch_daemon("agent", name)
 
+    def _backend_url(self, endpoint: objects.Endpoint) -> str:
+        if "rank" not in endpoint.labels:
+            return self.processes[f"endpoint-{endpoint.name}"].url
+        group = self.processes[f"group-{endpoint.labels['group']}"]
+        return f"{group.url}/ranks/{endpoint.labels['rank']}"
+
     def _launch_entry(self, name: str) -> None:
         self._settings[name] = {
             **self._common(name, "zone"),
--- a/libs/link/src/godwitdale_link/__init__.py
+++ b/libs/link/src/godwitdale_link/__init__.py
@@ -3,7 +3,8 @@
 from godwitdale_link import answers
 from godwitdale_link import client
 from godwitdale_link import framing
+from godwitdale_link import memory
 from godwitdale_link import messages
 from godwitdale_link import server
 
-__all__ = ["answers", "client", "framing", "messages", "server"]
+__all__ = ["answers", "client", "framing", "memory", "messages", "server"]
--- a/libs/link/src/godwitdale_link/client.py
+++ b/libs/link/src/godwitdale_link/client.py
@@ -15,6 +15,7 @@
 from godwitdale_verdicts import outcomes
 from godwitdale_verdicts import verdict as verdict_lib
 from msgspec import structs
+from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
@@ -230,6 +231,10 @@
         self._connections = 0
         self._live: _Connection | None = None
         self._is_open = False
+        self._questions: dict[
+            int, tuple[messages.Call, defer.Deferred[bytes]]
+        ] = {}
+        self._calls = 0
         self._down_since_s: float | None = None
         self._has_failed = False
         self._timer: Any = None
@@ -299,6 +304,28 @@
         if attempt is not None and attempt.handed_over:
             self._send(messages.Cancel(request_id))
 
+    def call(self, kind: str, body: bytes) -> "defer.Deferred[bytes]":
+        """Asks the agent something that is no caller's request.
+
+        Args:
+            kind: What is asked.
+            body: The question.
+
+        Returns:
+            Fires with the answer. It may never come; set a time-out.
+        """
+        self._calls += 1
+        number = self._calls
+
+        def forget(_: Any) -> None:
+            self._questions.pop(number, None)
+
+        asked: defer.Deferred[bytes] = defer.Deferred(forget)
+        self._questions[number] = (messages.Call(number, kind, body), asked)
+        self._machine.wanted()
+        self._send(self._questions[number][0])
+        return asked
+
     def close(self) -> None:
         """Ends the connection; attempts under way are lost."""
         self._machine.closed()
@@ -449,6 +476,13 @@
         self._host.agent_seen(self.endpoint, message.position)
         self._host.load_reported(self.endpoint, message.load, None)
         self._resume_all()
+        for question, _ in self._questions.values():
+            self._send(question)
+
+    def _replied(self, message: messages.Reply) -> None:
+        _, asked = self._questions.pop(message.number, (None, None))
+        if asked is not None:
+            asked.callback(message.body)
 
     def _resume_all(self) -> None:
         strangers = []
@@ -565,4 +599,5 @@
         messages.End: _end,
         messages.Refused: _refused,
         messages.Revoked: _revoked,
+        messages.Reply: _replied,
     }
--- a/libs/link/src/godwitdale_link/messages.py
+++ b/libs/link/src/godwitdale_link/messages.py
@@ -254,6 +254,32 @@
     started: bool
 
 
+class Call(msgspec.Struct, frozen=True, array_like=True, tag="call"):
+    """Asks an agent something that is no caller's request.
+
+    Attributes:
+        number: Tells the answer which question it belongs to.
+        kind: What is asked.
+        body: The question.
+    """
+
+    number: int
+    kind: str
+    body: bytes
+
+
+class Reply(msgspec.Struct, frozen=True, array_like=True, tag="reply"):
+    """Answers ``Call``.
+
+    Attributes:
+        number: Number of the question.
+        body: The answer.
+    """
+
+    number: int
+    body: bytes
+
+
 class FetchDeclarations(
     msgspec.Struct, frozen=True, array_like=True, tag="fetch"
 ):
@@ -288,6 +314,7 @@
     | Cancel
     | Received
     | Ping
+    | Call
     | FetchDeclarations
     | Declarations
 )
@@ -299,6 +326,7 @@
     | End
     | Refused
     | Revoked
+    | Reply
     | FetchDeclarations
     | Declarations
 )
--- a/libs/link/src/godwitdale_link/server.py
+++ b/libs/link/src/godwitdale_link/server.py
@@ -9,11 +9,13 @@
 from godwitdale_verdicts import identifiers
 from godwitdale_verdicts import outcomes
 import msgspec
+from twisted.internet import defer
 from twisted.internet import protocol
 from twisted.python import failure
 
 from godwitdale_link import answers
 from godwitdale_link import framing
+from godwitdale_link import memory
 from godwitdale_link import messages
 
 _MOST_REMEMBERED_IDS = 50_000
@@ -50,6 +52,9 @@
     def cancel(self, request_id: identifiers.RequestId) -> None:
         """Ends a request that nobody waits for any more."""
 
+    def called(self, kind: str, body: bytes) -> "defer.Deferred[bytes]":
+        """Answers another agent's question."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Keeping:
@@ -202,7 +207,7 @@
         self._sinks: dict[identifiers.RequestId, AnswerSink] = {}
         self._finished: collections.deque[AnswerSink] = collections.deque()
         self._finished_bytes = 0
-        self._memory = _IdMemory(_MOST_REMEMBERED_IDS)
+        self._memory = memory.IdMemory(_MOST_REMEMBERED_IDS)
         self._dirty: dict[identifiers.RequestId, AnswerSink] = {}
         self._flush_timer: Any = None
 
@@ -459,6 +464,17 @@
         connection.send(self._pong())
         self._forget_old()
 
+    def _call(
+        self, connection: _EntryConnection, message: messages.Call
+    ) -> None:
+        def reply(body: bytes) -> None:
+            connection.send(messages.Reply(message.number, body))
+
+        # A question that fails stays without an answer; the asker's time-out
+        # tells it.
+        answering = self._handler.called(message.kind, message.body)
+        answering.addCallbacks(reply, lambda _: None)
+
     def _fetch(
         self, connection: _EntryConnection, message: messages.FetchDeclarations
     ) -> None:
@@ -479,60 +495,7 @@
         messages.Cancel: _cancel,
         messages.Received: _received,
         messages.Ping: _ping,
+        messages.Call: _call,
         messages.FetchDeclarations: _fetch,
         messages.Declarations: _declarations,
     }
-
-
-class _IdMemory:
-    """Which attempts were submitted or revoked, in bounded memory.
-
-    Where identifiers are forgotten, all of that entry up to the highest
-    forgotten one count as seen: the answer about them is "may have run".
-    """
-
-    __slots__ = ("_most", "_revoked", "_forgotten")
-
-    def __init__(self, most: int) -> None:
-        self._most = most
-        self._revoked: dict[identifiers.RequestId, bool] = {}
-        self._forgotten: dict[str, int] = {}
-
-    def add(self, request_id: identifiers.RequestId) -> None:
-        """Remembers an attempt that was submitted."""
-        self._revoked[request_id] = False
-        self._trim()
-
-    def revoke(self, request_id: identifiers.RequestId) -> None:
-        """Remembers that an attempt never starts."""
-        self._revoked[request_id] = True
-        self._trim()
-
-    def revoke_unseen(self, request_id: identifiers.RequestId) -> None:
-        """Remembers that an attempt never starts, if it has not come yet."""
-        if not self.may_have_seen(request_id):
-            self.revoke(request_id)
-
-    def may_have_seen(self, request_id: identifiers.RequestId) -> bool:
-        """Tells whether an attempt is known or forgotten."""
-        if request_id in self._revoked:
-            return True
-        forgotten = self._forgotten.get(request_id.incarnation, 0)
-        return request_id.sequence <= forgotten
-
-    def is_revoked(self, request_id: identifiers.RequestId) -> bool:
-        """Tells whether an attempt was revoked before it started."""
-        return self._revoked.get(request_id, False)
-
-    def may_have_run(self, request_id: identifiers.RequestId) -> bool:
-        """Tells whether an attempt may have been submitted and not revoked."""
-        if self.is_revoked(request_id):
-            return False
-        return self.may_have_seen(request_id)
-
-    def _trim(self) -> None:
-        while len(self._revoked) > self._most:
-            oldest = next(iter(self._revoked))
-            del self._revoked[oldest]
-            highest = self._forgotten.get(oldest.incarnation, 0)
-            self._forgotten[oldest.incarnation] = max(highest, oldest.sequence)
--- a/libs/platform/src/godwitdale_platform/backend.py
+++ b/libs/platform/src/godwitdale_platform/backend.py
@@ -226,6 +226,22 @@
             return Whole()
         return Lost(f"the answer broke off: {reason!r}")
 
+    async def post_json(self, path: str, body: Any, timeout_s: float) -> Any:
+        """Sends an order and returns the JSON that answers it.
+
+        Args:
+            path: Path with the query.
+            body: The order, sent as JSON.
+            timeout_s: Time that it may take.
+        """
+        response = await treq.post(
+            self._base_url + path,
+            data=msgspec.json.encode(body),
+            timeout=timeout_s,
+            agent=self._fresh,
+        )
+        return msgspec.json.decode(await treq.content(response))
+
     async def get_json(self, path: str, timeout_s: float) -> Any:
         """Fetches a JSON document, such as a load report.
 
--- a/libs/standins/src/godwitdale_standins/launch.py
+++ b/libs/standins/src/godwitdale_standins/launch.py
@@ -9,6 +9,7 @@
 from godwitdale_standins import instance_list
 from godwitdale_standins import log_service
 from godwitdale_standins import plain_app
+from godwitdale_standins import rank_group
 from godwitdale_standins import relay
 from godwitdale_standins import weight_store
 
@@ -18,6 +19,7 @@
     "weights": lambda _: weight_store.WeightStore(),
     "engine": lambda model: engine.Engine(model, engine.EngineShape()),
     "app": plain_app.PlainApp,
+    "group": rank_group.RankGroup,
     "relay": lambda _: relay.Relay(),
 }
 NAMES = tuple(_MAKERS)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -67,3 +67,36 @@
         "stream": stream,
         "max_tokens": tokens,
     }
+
+
+GROUP = "experts"
+
+
+def declared_group(ranks=3, experts=12, slots=6, **weights):
+    """Returns declarations of one group whose ranks have an agent each."""
+    group = objects.Group(
+        name=GROUP,
+        ranks=ranks,
+        experts=experts,
+        slots_per_rank=slots,
+        **weights,
+    )
+    endpoints = [
+        objects.Endpoint(
+            name=f"rank-{number}",
+            labels={"group": GROUP, "rank": str(number)},
+        )
+        for number in range(ranks)
+    ]
+    work = objects.Work(name="any")
+    selector = objects.Selector(
+        name="ranks",
+        work="any",
+        endpoints=[condition("group", "equals", GROUP)],
+    )
+    return [objects.Policy(), group, work, selector, *endpoints]
+
+
+def popularity(hot, experts=12):
+    """Returns loads in which some experts are hot."""
+    return [20.0 if number in hot else 1.0 for number in range(experts)]
--- a/tests/unit/test_link.py
+++ b/tests/unit/test_link.py
@@ -3,6 +3,7 @@
 import random
 
 from godwitdale_link import answers
+from godwitdale_link import memory
 from godwitdale_link import messages
 from godwitdale_link import server
 from godwitdale_verdicts import identifiers
@@ -217,9 +218,9 @@
 
 
 def test_forgotten_requests_count_as_seen():
-    memory = server._IdMemory(most=2)
+    remembered = memory.IdMemory(most=2)
     ids = [identifiers.RequestId("entry", number) for number in range(1, 5)]
     for each in ids:
-        memory.add(each)
-    assert memory.may_have_run(ids[0])
-    assert not memory.may_have_seen(identifiers.RequestId("entry", 9))
+        remembered.add(each)
+    assert remembered.may_have_run(ids[0])
+    assert not remembered.may_have_seen(identifiers.RequestId("entry", 9))
