Measure the time back to normal after faults

Cause: failure tests show that promises hold, not for how long callers feel it. Change: 'bench recovery' sends probes at a fixed rate over nine faults, each on a cluster of its own; the memory of a link is traced instead of read from the process, whose noise gave -688 bytes a link.

--- a/libs/godwitdale/src/godwitdale/bench/commands.py
+++ b/libs/godwitdale/src/godwitdale/bench/commands.py
@@ -13,6 +13,7 @@
 from godwitdale.bench import links
 from godwitdale.bench import path
 from godwitdale.bench import policy
+from godwitdale.bench import recovery
 from godwitdale.bench import report
 from godwitdale.bench import slopes
 
@@ -98,3 +99,9 @@
         report.publish("slopes-table", await slopes.run(reactor, out), out)
 
     running.run_async(work)
+
+
+@app.command("recovery")
+def bench_recovery(out: Folder = None) -> None:
+    """Measure the time back to normal after faults."""
+    report.publish("recovery", recovery.run(), out)
--- a/libs/godwitdale/src/godwitdale/bench/slopes.py
+++ b/libs/godwitdale/src/godwitdale/bench/slopes.py
@@ -337,7 +337,16 @@
     memory_bytes: float
 
 
-async def _hold_links(reactor: Any, count: int) -> _LinkReading:
+async def _hold_links(
+    reactor: Any, count: int, traces: bool = False
+) -> _LinkReading:
+    """Holds links open and reads what they cost.
+
+    Args:
+        reactor: The Twisted reactor.
+        count: Number of links.
+        traces: Whether memory is traced, which makes everything slower.
+    """
     context = multiprocessing.get_context("spawn")
     ours, theirs = context.Pipe()
     process = context.Process(
@@ -345,7 +354,9 @@
     )
     process.start()
     ports = ours.recv()
-    before_bytes = load.memory_mb(os.getpid()) * 1024 * 1024
+    if traces:
+        gc.collect()
+        tracemalloc.start()
     links = [
         client.AgentLink(
             f"runner-{number}",
@@ -360,7 +371,11 @@
     for link in links:
         link.open()
     await task.deferLater(reactor, 2.0, lambda: None)
-    memory = load.memory_mb(os.getpid()) * 1024 * 1024 - before_bytes
+    memory = 0.0
+    if traces:
+        gc.collect()
+        memory = float(tracemalloc.get_traced_memory()[0])
+        tracemalloc.stop()
     traffic = sum(sum(link.traffic_bytes) for link in links)
     entry_s = time.process_time()
     agent_s = load.cpu_s(process.pid or 0)
@@ -382,6 +397,8 @@
     few, many = _LINK_COUNTS
     low = await _hold_links(reactor, few)
     high = await _hold_links(reactor, many)
+    low_traced = await _hold_links(reactor, few, traces=True)
+    high_traced = await _hold_links(reactor, many, traces=True)
     beats = (many - few) * _LINK_SECONDS
 
     def per_beat(read: Callable[[_LinkReading], float]) -> float:
@@ -391,7 +408,9 @@
         "link_entry_us": per_beat(lambda r: r.entry_cpu_s) * _US_PER_S,
         "link_agent_us": per_beat(lambda r: r.agent_cpu_s) * _US_PER_S,
         "link_bytes": per_beat(lambda r: r.payload_bytes),
-        "link_entry_memory_bytes": (high.memory_bytes - low.memory_bytes)
+        "link_entry_memory_bytes": (
+            high_traced.memory_bytes - low_traced.memory_bytes
+        )
         / (many - few),
     }
 
