--- a/tests/system/test_path.py
+++ b/tests/system/test_path.py
@@ -1,10 +1,13 @@
 """The whole path through separate processes."""
 
+import contextlib
 import json
+import socket
 import time
 
 import builders
 from godwitdale import testing
+import msgspec
 import pytest
 
 
@@ -149,6 +152,44 @@
     )
 
 
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"\x00\xff\xfe garbage\r\n\r\n",
+        b"GET /v1/models HTTP/1.1\r\nX-Long: " + b"a" * 200_000,
+        b"GET / HTTP/1.1\r\n" + b"X: y\r\n" * 2000 + b"\r\n",
+        b"POST /v1/chat/completions HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
+        b"POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 50\r\n\r\n{",
+    ],
+)
+def test_abuse_of_the_connection_harms_nobody_else(cluster, sent):
+    port = cluster.processes["entry-1"].port
+    with socket.create_connection((testing.HOST, port)) as abuser:
+        with contextlib.suppress(OSError):
+            abuser.sendall(sent)
+        answer = testing.ask(
+            cluster.entry_url() + "/v1/models", headers=cluster.headers("mill")
+        )
+    assert answer.status == 200
+
+
+def test_a_caller_that_never_reads_harms_nobody_else(cluster):
+    port = cluster.processes["entry-1"].port
+    body = msgspec.json.encode(builders.chat(tokens=400))
+    headers = cluster.headers("buyer", Content_Length=str(len(body)))
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    head = "POST /v1/chat/completions HTTP/1.1\r\n" + "\r\n".join(lines)
+    with socket.create_connection((testing.HOST, port)) as idler:
+        idler.sendall(head.encode() + b"\r\n\r\n" + body)
+        answer = testing.ask(
+            cluster.entry_url() + builders.CHAT_PATH,
+            "POST",
+            builders.chat(tokens=3),
+            cluster.headers("buyer"),
+        )
+    assert answer.status == 200
+
+
 def test_models_are_listed(cluster):
     answer = testing.ask(
         cluster.entry_url() + "/v1/models", headers=cluster.headers("mill")
