Spare the log from every rank's looks

Change: leaders tell the others how far the stream goes; others look only after silence. A declared time lies between two decisions, 30 s by default.

--- a/libs/declarations/src/godwitdale_declarations/objects.py
+++ b/libs/declarations/src/godwitdale_declarations/objects.py
@@ -151,6 +151,7 @@
         skew_weight: Worth of a second of step-time skew.
         cost_weight: Worth of a second of work lost or delayed by a move.
         quiet_windows: UTC ranges in which no move is started.
+        decide_every_s: Time between two looks at whether to move.
     """
 
     name: Name
@@ -160,6 +161,7 @@
     skew_weight: Annotated[float, msgspec.Meta(ge=0)] = 1.0
     cost_weight: Annotated[float, msgspec.Meta(ge=0)] = 1.0
     quiet_windows: list[Clock] = []
+    decide_every_s: PositiveSeconds = 30.0
 
 
 class Policy(
--- a/libs/godwitdale/src/godwitdale/agent.py
+++ b/libs/godwitdale/src/godwitdale/agent.py
@@ -61,6 +61,7 @@
         )
         self._keeper = self._make_keeper()
         self._executor.answer_calls(grouping.PREPARE_CALL, self._keeper.prepare)
+        self._executor.answer_calls(grouping.NOTICE_CALL, self._keeper.notice)
 
     def factory(self) -> Any:
         """Returns what makes protocols for entries."""
--- a/libs/godwitdale/src/godwitdale/grouping.py
+++ b/libs/godwitdale/src/godwitdale/grouping.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+import math
 from typing import Any
 
 from godwitdale_declarations import objects
@@ -31,8 +32,11 @@
 GROUP_LABEL = "group"
 RANK_LABEL = "rank"
 PREPARE_CALL = "prepare"
-_TURN_S = 0.2
-_TERM_S = 3.0
+NOTICE_CALL = "notice"
+_BUSY_TURN_S = 0.2
+_IDLE_TURN_S = 1.0
+_TERM_S = 6.0
+_RANK_ANSWER_S = 3.0
 _PREPARE_S = 4.0
 _CLOCK_MARGIN_S = 0.5
 _STEPS_AHEAD = 150
@@ -78,6 +82,16 @@
     fencing: int
 
 
+class Notice(msgspec.Struct, frozen=True):
+    """What a leader tells the other agents, so that they need not look.
+
+    Attributes:
+        next_offset: How far the leader has folded the group's stream.
+    """
+
+    next_offset: int
+
+
 class Promise(msgspec.Struct, frozen=True):
     """What an agent answers.
 
@@ -134,6 +148,11 @@
         self._seen: group_lib.Held | None = None
         self._seen_at_s = 0.0
         self._horizon: rebalance.Horizon | None = None
+        self._heard_at_s = -_TERM_S
+        self._told_offset = -1
+        self._told_at_s = 0.0
+        self._considered_at_s = -math.inf
+        self._is_busy = False
         self._stopped = False
         self._events = logs.EventLog()
 
@@ -162,7 +181,7 @@
                 except Exception as error:  # The rank does not answer.
                     self.is_leading = False
                     self._events.info("group turn failed", error=repr(error))
-            await self._sleep(_TURN_S)
+            await self._sleep(_BUSY_TURN_S if self._is_busy else _IDLE_TURN_S)
 
     def stop(self) -> None:
         """Ends ``run`` after the turn that is under way."""
@@ -190,12 +209,44 @@
                 promised = await self._order_prepare(asked)
         return msgspec.json.encode(Promise(promised))
 
+    async def notice(self, body: bytes) -> bytes:
+        """Takes a leader's word of how far the group's stream goes.
+
+        Args:
+            body: A ``Notice``, encoded.
+        """
+        told = msgspec.json.decode(body, type=Notice)
+        group = self._group
+        if group is not None and told.next_offset > self.state.next_offset:
+            await self._read(group)
+        self._heard_at_s = self._clock.seconds()
+        return b""
+
     async def _turn(self, group: objects.Group) -> None:
-        await self._read(group)
         rank = await self._rank_state()
+        is_waiting = rank.pending is not None and not rank.decided
+        is_told = self._clock.seconds() - self._heard_at_s < _TERM_S
+        if self.is_leading or is_waiting or not is_told:
+            await self._read(group)
+        self._is_busy = is_waiting or rank.needs_join
         await self._serve_rank(group, rank)
         if await self._hold_lease(group):
             await self._lead(group, rank)
+            self._tell_others(group)
+            self._is_busy = self._is_busy or self.state.open is not None
+
+    def _tell_others(self, group: objects.Group) -> None:
+        """Spares the other agents from looking at the log."""
+        now_s = self._clock.seconds()
+        is_news = self.state.next_offset != self._told_offset
+        if not is_news and now_s - self._told_at_s < _TERM_S / 2:
+            return
+        self._told_offset = self.state.next_offset
+        self._told_at_s = now_s
+        body = msgspec.json.encode(Notice(self.state.next_offset))
+        for name in self._others(group):
+            told = self._peers.call(name, NOTICE_CALL, body, _PREPARE_S)
+            told.addErrback(lambda _: None)
 
     def _sleep(self, delay_s: float) -> "defer.Deferred[None]":
         return task.deferLater(self._clock, delay_s, lambda: None)
@@ -209,7 +260,7 @@
         self._fence.read_head(held.fencing if held is not None else -1)
 
     async def _rank_state(self) -> RankState:
-        found = await self._rank.get_json("/group/state", _TERM_S)
+        found = await self._rank.get_json("/group/state", _RANK_ANSWER_S)
         return msgspec.convert(found, RankState)
 
     async def _serve_rank(self, group: objects.Group, rank: RankState) -> None:
@@ -273,7 +324,7 @@
         return bool(answer.get("promised"))
 
     async def _order(self, order: dict[str, Any]) -> Any:
-        return await self._rank.post_json("/orders", order, _TERM_S)
+        return await self._rank.post_json("/orders", order, _RANK_ANSWER_S)
 
     async def _hold_lease(self, group: objects.Group) -> bool:
         """Takes or renews the lease; tells whether it is held now."""
@@ -372,6 +423,9 @@
 
     async def _consider(self, group: objects.Group, rank: RankState) -> None:
         now_s = self._clock.seconds()
+        if now_s - self._considered_at_s < group.decide_every_s:
+            return
+        self._considered_at_s = now_s
         if self._horizon is None:
             self._horizon = rebalance.Horizon(_HORIZON_S, now_s)
         self._horizon.stayed(now_s)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -79,6 +79,7 @@
         ranks=ranks,
         experts=experts,
         slots_per_rank=slots,
+        decide_every_s=0.5,
         **weights,
     )
     endpoints = [
