--- a/libs/declarations/src/godwitdale_declarations/documents.py
+++ b/libs/declarations/src/godwitdale_declarations/documents.py
@@ -7,9 +7,10 @@
 from typing import get_args
 from typing import get_origin
 
-from godwitdale_verdicts import exceptions
 import msgspec
 
+from godwitdale_verdicts import exceptions
+
 _MOST_SHOWN = 60
 
 
--- a/libs/declarations/src/godwitdale_declarations/files.py
+++ b/libs/declarations/src/godwitdale_declarations/files.py
@@ -3,11 +3,11 @@
 from collections.abc import Mapping
 from typing import Any
 
-from godwitdale_verdicts import exceptions
 import msgspec
 
 from godwitdale_declarations import documents
 from godwitdale_declarations import objects
+from godwitdale_verdicts import exceptions
 
 _KINDS: dict[str, type] = {
     "account": objects.Account,
--- a/libs/godwitdale/src/godwitdale/agent.py
+++ b/libs/godwitdale/src/godwitdale/agent.py
@@ -4,10 +4,6 @@
 import time
 from typing import Any
 
-from godwitdale_link import server as link_server
-from godwitdale_observe import histograms
-from godwitdale_observe import logs
-from godwitdale_platform import backend as backend_lib
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -18,6 +14,10 @@
 from godwitdale import peers as peers_lib
 from godwitdale import settings as settings_lib
 from godwitdale import tls
+from godwitdale_link import server as link_server
+from godwitdale_observe import histograms
+from godwitdale_observe import logs
+from godwitdale_platform import backend as backend_lib
 
 _LOAD_TIMEOUT_S = 2.0
 _STEPS_CLASS = "steps"
--- a/libs/godwitdale/src/godwitdale/bench/experts.py
+++ b/libs/godwitdale/src/godwitdale/bench/experts.py
@@ -11,15 +11,15 @@
 from typing import Any
 from typing import Protocol
 
+import msgspec
+import numpy as np
+
+from godwitdale.bench import report
 from godwitdale_declarations import objects
 from godwitdale_declarations import selectors
 from godwitdale_experts import placement as placement_lib
 from godwitdale_experts import popularity as popularity_lib
 from godwitdale_experts import rebalance
-import msgspec
-import numpy as np
-
-from godwitdale.bench import report
 
 _MINUTES = 180
 _STEP_S = 0.025
--- a/libs/godwitdale/src/godwitdale/bench/faults.py
+++ b/libs/godwitdale/src/godwitdale/bench/faults.py
@@ -14,8 +14,6 @@
 from typing import Any
 import uuid
 
-from godwitdale_declarations import objects
-from godwitdale_verdicts import exceptions
 import msgspec
 import treq
 from twisted.internet import defer
@@ -25,6 +23,8 @@
 from godwitdale import testing
 from godwitdale.bench import fixtures
 from godwitdale.bench import report
+from godwitdale_declarations import objects
+from godwitdale_verdicts import exceptions
 
 _ENGINES = 3
 _APPS = 3
--- a/libs/godwitdale/src/godwitdale/bench/links.py
+++ b/libs/godwitdale/src/godwitdale/bench/links.py
@@ -5,15 +5,15 @@
 import time
 from typing import Any
 
-from godwitdale_link import framing
-from godwitdale_link import messages
-from godwitdale_verdicts import identifiers
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import protocol
 from twisted.internet import task
 
 from godwitdale.bench import report
+from godwitdale_link import framing
+from godwitdale_link import messages
+from godwitdale_verdicts import identifiers
 
 _PAYLOAD_BYTES = 200
 _SECONDS = 2.0
--- a/libs/godwitdale/src/godwitdale/bench/load.py
+++ b/libs/godwitdale/src/godwitdale/bench/load.py
@@ -6,7 +6,6 @@
 import random
 from typing import Any
 
-from godwitdale_platform import backend
 import msgspec
 from twisted.internet import defer
 from twisted.internet import protocol
@@ -15,6 +14,8 @@
 from twisted.web import client
 from twisted.web import http_headers
 
+from godwitdale_platform import backend
+
 _DONE = b"data: [DONE]"
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _KB_PER_MB = 1024
--- a/libs/godwitdale/src/godwitdale/bench/policy.py
+++ b/libs/godwitdale/src/godwitdale/bench/policy.py
@@ -15,14 +15,13 @@
 import statistics
 from typing import Any
 
+from godwitdale.bench import report
 from godwitdale_routing import admission
 from godwitdale_routing import choice
 from godwitdale_routing import limits
 from godwitdale_routing import prefixes
 from godwitdale_routing import queueing
 
-from godwitdale.bench import report
-
 _ENDPOINTS = 24
 _SLOTS = 8
 _SERVICE_S = 0.5
--- a/libs/godwitdale/src/godwitdale/bench/recovery.py
+++ b/libs/godwitdale/src/godwitdale/bench/recovery.py
@@ -15,6 +15,7 @@
 from typing import Any
 import uuid
 
+from godwitdale import asking
 from godwitdale import testing
 from godwitdale.bench import fixtures
 from godwitdale.bench import report
@@ -146,17 +147,17 @@
         try:
             answer = self._ask()
         except OSError:
-            answer = testing.Answer(0, {}, b"")
+            answer = asking.Answer(0, {}, b"")
         took_s = time.monotonic() - sent_s
         probe = Probe(sent_s, took_s, answer.status, answer.verdict)
         self.probes.append(probe)
 
-    def _ask(self) -> testing.Answer:
+    def _ask(self) -> asking.Answer:
         url = self._cluster.entry_url(self._scenario.entry)
         headers = self._cluster.headers(fixtures.ACCOUNT)
         if self._scenario.books:
             headers["Idempotency-Key"] = uuid.uuid4().hex
-            return testing.ask(
+            return asking.ask(
                 f"{url}/orders", "POST", {"item": "bag"}, headers, _ANSWER_S
             )
         body = {
@@ -164,7 +165,7 @@
             "messages": [{"role": "user", "content": "probe"}],
             "max_tokens": 3,
         }
-        return testing.ask(
+        return asking.ask(
             url + fixtures.CHAT_PATH, "POST", body, headers, _ANSWER_S
         )
 
--- a/libs/godwitdale/src/godwitdale/bench/slopes.py
+++ b/libs/godwitdale/src/godwitdale/bench/slopes.py
@@ -14,6 +14,12 @@
 import tracemalloc
 from typing import Any
 
+import msgspec
+from twisted.internet import endpoints
+from twisted.internet import task
+
+from godwitdale.bench import load
+from godwitdale.bench import report
 from godwitdale_claims import ledger as ledger_lib
 from godwitdale_claims import records as claim_records
 from godwitdale_declarations import fold as fold_lib
@@ -27,12 +33,6 @@
 from godwitdale_link import server
 from godwitdale_platform import instances as instances_lib
 from godwitdale_routing import subsets
-import msgspec
-from twisted.internet import endpoints
-from twisted.internet import task
-
-from godwitdale.bench import load
-from godwitdale.bench import report
 
 _HOST = "127.0.0.1"
 _US_PER_S = 1_000_000
--- a/libs/godwitdale/src/godwitdale/claiming.py
+++ b/libs/godwitdale/src/godwitdale/claiming.py
@@ -3,13 +3,14 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+from twisted.internet import defer
+from twisted.internet import task
+
 from godwitdale_claims import claimant as claimant_lib
 from godwitdale_claims import records
 from godwitdale_platform import log as log_lib
 from godwitdale_verdicts import exceptions
-import msgspec
-from twisted.internet import defer
-from twisted.internet import task
 
 _MOST_ENTRIES = 500
 _RETRY_S = 0.2
--- /dev/null
+++ b/libs/godwitdale/src/godwitdale/classification.py
@@ -0,0 +1,213 @@
+"""Reading of callers' requests: headers, keys, chats, and what binds them."""
+
+import time
+from typing import Any
+
+import msgspec
+import uuid_utils
+
+from godwitdale import dispatch
+from godwitdale_claims import records as claim_records
+from godwitdale_declarations import objects
+from godwitdale_declarations import selectors
+from godwitdale_declarations import view as view_lib
+from godwitdale_link import messages
+from godwitdale_platform import backend
+from godwitdale_routing import prefixes
+from godwitdale_verdicts import outcomes
+
+CHAT_PATH = "/v1/chat/completions"
+_MOST_KEY_CHARS = 200
+_MINUTES_PER_DAY = 1440
+_SECONDS_PER_MINUTE = 60
+_MS_PER_S = 1000
+_FUTURE_KEY_S = 60.0
+_ACCOUNT_HEADER = "godwitdale-account"
+_STRIPPED = backend.HOP_BY_HOP | {
+    "authorization",
+    "idempotency-key",
+    "last-event-id",
+    _ACCOUNT_HEADER,
+}
+
+
+class _ChatMessage(msgspec.Struct):
+    role: str
+    content: Any = None
+
+
+class _Chat(msgspec.Struct):
+    model: str
+    messages: list[_ChatMessage]
+    stream: bool = False
+
+
+_chat_decoder = msgspec.json.Decoder(_Chat)
+
+
+class RefusedError(Exception):
+    """Ends the handling of a request with a refusal.
+
+    Attributes:
+        refusal: What to tell the caller.
+    """
+
+    def __init__(self, refusal: outcomes.Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+def refuse(
+    reason: outcomes.Reason, detail: str, retry_after_s: float | None = None
+) -> RefusedError:
+    """Returns the error that refuses a request that did not run."""
+    return RefusedError(outcomes.not_run(reason, detail, retry_after_s))
+
+
+def job_of(
+    request: Any,
+    trace: str,
+    account: objects.Account,
+    offered: float,
+    view: view_lib.View,
+) -> dispatch.Job:
+    """Reads a request and binds it to work and endpoints.
+
+    Args:
+        request: The ``twisted.web`` request.
+        trace: Names it in logs.
+        account: Its client account.
+        offered: Requests that callers offered for each one admitted.
+        view: What is declared.
+
+    Raises:
+        RefusedError: The request cannot be served; it did not run.
+    """
+    body = request.content.read()
+    path = request.path.decode("latin-1")
+    model = None
+    blocks: list[int] = []
+    if path == CHAT_PATH:
+        model, blocks = _read_chat(request, body, view)
+    headers = _headers_of(request)
+    selector = selectors.bind(
+        view.selectors,
+        selectors.Request(
+            account=account.name,
+            account_labels=account.labels,
+            method=request.method.decode("latin-1"),
+            path=path,
+            model=model,
+            headers=dict(headers),
+            minute_of_day=_minute_of_day(),
+        ),
+    )
+    work = view.works.get(selector.work) if selector else None
+    if selector is None or work is None:
+        raise refuse(
+            outcomes.Reason.NOT_FOUND,
+            f"no selector binds {path}"
+            + (f" with model {model}" if model else ""),
+        )
+    return dispatch.Job(
+        trace=trace,
+        account=account,
+        offered=offered,
+        work=work,
+        selector=selector,
+        key=_key_of(request, account, work, view),
+        method=request.method.decode("latin-1"),
+        path=request.uri.decode("latin-1"),
+        headers=[*headers, (_ACCOUNT_HEADER, account.name)],
+        body=body,
+        prompt_tokens=len(body) // prefixes.BYTES_PER_TOKEN,
+        blocks=blocks,
+    )
+
+
+def _read_chat(
+    request: Any, body: bytes, view: view_lib.View
+) -> tuple[str, list[int]]:
+    if request.method != b"POST":
+        raise refuse(outcomes.Reason.BAD_REQUEST, "use POST")
+    try:
+        chat = _chat_decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise refuse(
+            outcomes.Reason.BAD_REQUEST, f"the body is not a chat: {error}"
+        ) from error
+    if not chat.messages:
+        raise refuse(outcomes.Reason.BAD_REQUEST, "messages is empty")
+    prompt = msgspec.json.encode(chat.messages)
+    if chat.model not in view.models:
+        raise refuse(
+            outcomes.Reason.NOT_FOUND, f"there is no model {chat.model!r}"
+        )
+    return chat.model, prefixes.blocks_of(prompt)
+
+
+def _headers_of(request: Any) -> messages.Headers:
+    named_by_connection = {
+        name.strip().lower()
+        for name in (request.getHeader("connection") or "").split(",")
+    }
+    found = []
+    for raw_name, values in request.requestHeaders.getAllRawHeaders():
+        name = raw_name.decode("latin-1").lower()
+        if name not in _STRIPPED and name not in named_by_connection:
+            found += [(name, value.decode("latin-1")) for value in values]
+    return found
+
+
+def _minute_of_day() -> int:
+    return int(time.time() // _SECONDS_PER_MINUTE) % _MINUTES_PER_DAY
+
+
+def _key_of(
+    request: Any,
+    account: objects.Account,
+    work: objects.Work,
+    view: view_lib.View,
+) -> str | None:
+    """Returns the digest of the idempotency key, or None without one."""
+    if work.repeatable or work.keys == "ignored":
+        return None
+    text = (request.getHeader("idempotency-key") or "").strip().strip('"')
+    if not text:
+        if work.keys == "optional":
+            return None
+        raise refuse(
+            outcomes.Reason.KEY_INVALID,
+            f"work of kind {work.name} needs an Idempotency-Key",
+        )
+    if len(text) > _MOST_KEY_CHARS:
+        raise refuse(
+            outcomes.Reason.KEY_INVALID,
+            f"an Idempotency-Key has at most {_MOST_KEY_CHARS} characters",
+        )
+    if work.keys == "time-ordered":
+        _check_age(text, view.policy.key_window_s)
+    return claim_records.key_digest(account.name, text)
+
+
+def _check_age(text: str, window_s: float) -> None:
+    try:
+        key = uuid_utils.UUID(text)
+        if key.version != 7:
+            raise ValueError("not version 7")
+    except ValueError as error:
+        raise refuse(
+            outcomes.Reason.KEY_INVALID,
+            "this work needs an Idempotency-Key that is a UUID of version 7",
+        ) from error
+    age_s = time.time() - key.timestamp / _MS_PER_S
+    if age_s < -_FUTURE_KEY_S:
+        raise refuse(outcomes.Reason.KEY_INVALID, "the key is from the future")
+    if age_s > window_s:
+        raise RefusedError(
+            outcomes.may_have_run(
+                outcomes.Reason.KEY_EXPIRED,
+                f"the key is older than {window_s:.0f} s; what ran under it "
+                "is not known any more",
+            )
+        )
--- a/libs/godwitdale/src/godwitdale/cli.py
+++ b/libs/godwitdale/src/godwitdale/cli.py
@@ -7,15 +7,6 @@
 from typing import Annotated
 from typing import Any
 
-from godwitdale_declarations import files
-from godwitdale_declarations import keys
-from godwitdale_declarations import selectors
-from godwitdale_declarations import view as view_lib
-from godwitdale_observe import logs
-from godwitdale_platform import instances as instances_lib
-from godwitdale_platform import log as log_lib
-from godwitdale_standins import launch
-from godwitdale_verdicts import exceptions
 import msgspec
 from twisted.internet import reactor as default_reactor
 import typer
@@ -28,6 +19,15 @@
 from godwitdale import settings as settings_lib
 from godwitdale import tables
 from godwitdale.bench import commands
+from godwitdale_declarations import files
+from godwitdale_declarations import keys
+from godwitdale_declarations import selectors
+from godwitdale_declarations import view as view_lib
+from godwitdale_observe import logs
+from godwitdale_platform import instances as instances_lib
+from godwitdale_platform import log as log_lib
+from godwitdale_standins import launch
+from godwitdale_verdicts import exceptions
 
 _PLATFORM_TIMEOUT_S = 5.0
 _MINUTES_PER_HOUR = 60
--- a/libs/godwitdale/src/godwitdale/daemon.py
+++ b/libs/godwitdale/src/godwitdale/daemon.py
@@ -3,11 +3,6 @@
 import random
 from typing import Any
 
-from godwitdale_observe import histograms
-from godwitdale_observe import metrics as metrics_lib
-from godwitdale_platform import instances as instances_lib
-from godwitdale_platform import log as log_lib
-from godwitdale_verdicts import identifiers
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -17,6 +12,11 @@
 from godwitdale import membership as membership_lib
 from godwitdale import settings as settings_lib
 from godwitdale import tls
+from godwitdale_observe import histograms
+from godwitdale_observe import metrics as metrics_lib
+from godwitdale_platform import instances as instances_lib
+from godwitdale_platform import log as log_lib
+from godwitdale_verdicts import identifiers
 
 
 class Daemon:
--- a/libs/godwitdale/src/godwitdale/demo.py
+++ b/libs/godwitdale/src/godwitdale/demo.py
@@ -4,8 +4,6 @@
 import pathlib
 from typing import Any
 
-from godwitdale_declarations import objects
-from godwitdale_verdicts import exceptions
 import msgspec
 import treq
 from twisted.internet import defer
@@ -13,6 +11,8 @@
 import uuid_utils
 
 from godwitdale import local
+from godwitdale_declarations import objects
+from godwitdale_verdicts import exceptions
 
 _DRAFTS = 8
 _BOOKINGS = 5
--- a/libs/godwitdale/src/godwitdale/dispatch.py
+++ b/libs/godwitdale/src/godwitdale/dispatch.py
@@ -6,6 +6,8 @@
 from typing import Any
 from typing import Protocol
 
+from godwitdale import feed as feed_lib
+from godwitdale import fleet as fleet_lib
 from godwitdale_claims import records as claim_records
 from godwitdale_declarations import objects
 from godwitdale_link import messages
@@ -20,9 +22,6 @@
 from godwitdale_verdicts import outcomes
 from godwitdale_verdicts import verdict as verdict_lib
 
-from godwitdale import feed as feed_lib
-from godwitdale import fleet as fleet_lib
-
 _REVOKE_GRACE_S = 0.5
 _RETRY_BUDGET_MOST = 20.0
 _NO_ENDPOINT_RETRY_S = 1.0
--- a/libs/godwitdale/src/godwitdale/entry.py
+++ b/libs/godwitdale/src/godwitdale/entry.py
@@ -3,8 +3,6 @@
 import itertools
 from typing import Any
 
-from godwitdale_observe import logs
-
 from godwitdale import callers
 from godwitdale import daemon
 from godwitdale import dispatch
@@ -12,6 +10,7 @@
 from godwitdale import limiting
 from godwitdale import settings as settings_lib
 from godwitdale import tls
+from godwitdale_observe import logs
 
 
 class EntryDaemon(daemon.Daemon):
--- a/libs/godwitdale/src/godwitdale/execution.py
+++ b/libs/godwitdale/src/godwitdale/execution.py
@@ -6,6 +6,12 @@
 import dataclasses
 from typing import Any
 
+from twisted.internet import defer
+import xxhash
+
+from godwitdale import claiming
+from godwitdale import feed as feed_lib
+from godwitdale import work as work_lib
 from godwitdale_claims import claimant as claimant_lib
 from godwitdale_claims import records as claim_records
 from godwitdale_link import messages
@@ -19,12 +25,6 @@
 from godwitdale_routing import queueing
 from godwitdale_verdicts import identifiers
 from godwitdale_verdicts import outcomes
-from twisted.internet import defer
-import xxhash
-
-from godwitdale import claiming
-from godwitdale import feed as feed_lib
-from godwitdale import work as work_lib
 
 _RATE_TIME_CONSTANT_S = 5.0
 _MOST_RATES = 2048
--- a/libs/godwitdale/src/godwitdale/feed.py
+++ b/libs/godwitdale/src/godwitdale/feed.py
@@ -9,6 +9,10 @@
 import random
 from typing import Any
 
+import msgspec
+from twisted.internet import defer
+from twisted.internet import task
+
 from godwitdale_declarations import fold as fold_lib
 from godwitdale_declarations import records
 from godwitdale_declarations import view as view_lib
@@ -17,9 +21,6 @@
 from godwitdale_platform import log as log_lib
 from godwitdale_routing import retries
 from godwitdale_verdicts import exceptions
-import msgspec
-from twisted.internet import defer
-from twisted.internet import task
 
 STREAM = "declarations"
 _LONG_POLL_S = 5.0
--- a/libs/godwitdale/src/godwitdale/fleet.py
+++ b/libs/godwitdale/src/godwitdale/fleet.py
@@ -3,6 +3,11 @@
 import random
 from typing import Any
 
+from godwitdale import feed as feed_lib
+from godwitdale import hosting
+from godwitdale import membership as membership_lib
+from godwitdale import settings as settings_lib
+from godwitdale import tls
 from godwitdale_declarations import objects
 from godwitdale_declarations import selectors
 from godwitdale_declarations import view as view_lib
@@ -13,12 +18,6 @@
 from godwitdale_routing import prefixes
 from godwitdale_routing import subsets
 
-from godwitdale import feed as feed_lib
-from godwitdale import hosting
-from godwitdale import membership as membership_lib
-from godwitdale import settings as settings_lib
-from godwitdale import tls
-
 _PREFIX_BLOCKS = 50_000
 _PEERS = 3
 _LEAST_SUBSET = 4
--- a/libs/godwitdale/src/godwitdale/grouping.py
+++ b/libs/godwitdale/src/godwitdale/grouping.py
@@ -10,6 +10,13 @@
 import math
 from typing import Any
 
+import msgspec
+import numpy as np
+from twisted.internet import defer
+from twisted.internet import task
+
+from godwitdale import feed as feed_lib
+from godwitdale import peers as peers_lib
 from godwitdale_declarations import objects
 from godwitdale_declarations import selectors
 from godwitdale_experts import fencing
@@ -21,13 +28,6 @@
 from godwitdale_platform import backend as backend_lib
 from godwitdale_platform import log as log_lib
 from godwitdale_verdicts import exceptions
-import msgspec
-import numpy as np
-from twisted.internet import defer
-from twisted.internet import task
-
-from godwitdale import feed as feed_lib
-from godwitdale import peers as peers_lib
 
 GROUP_LABEL = "group"
 RANK_LABEL = "rank"
--- a/libs/godwitdale/src/godwitdale/hosting.py
+++ b/libs/godwitdale/src/godwitdale/hosting.py
@@ -1,10 +1,9 @@
 """What every owner of links does with declarations."""
 
+from godwitdale import feed as feed_lib
 from godwitdale_link import client
 from godwitdale_link import messages
 
-from godwitdale import feed as feed_lib
-
 
 class FeedHost:
     """Keeps a process and the agents that it talks to at one state.
--- a/libs/godwitdale/src/godwitdale/lifecycle.py
+++ b/libs/godwitdale/src/godwitdale/lifecycle.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 import automat
+
 from godwitdale_observe import logs
 
 _CHECK_S = 0.05
--- a/libs/godwitdale/src/godwitdale/limiting.py
+++ b/libs/godwitdale/src/godwitdale/limiting.py
@@ -2,11 +2,10 @@
 
 from typing import Any
 
-from godwitdale_declarations import objects
-from godwitdale_routing import limits
-
 from godwitdale import fleet as fleet_lib
 from godwitdale import membership as membership_lib
+from godwitdale_declarations import objects
+from godwitdale_routing import limits
 
 _TIME_CONSTANT_S = 5.0
 
--- a/libs/godwitdale/src/godwitdale/local.py
+++ b/libs/godwitdale/src/godwitdale/local.py
@@ -7,6 +7,13 @@
 import pathlib
 from typing import Any
 
+from msgspec import structs
+from twisted.internet import task
+
+from godwitdale import agent as agent_lib
+from godwitdale import entry as entry_lib
+from godwitdale import publishing
+from godwitdale import settings as settings_lib
 from godwitdale_declarations import files
 from godwitdale_declarations import keys
 from godwitdale_declarations import objects
@@ -18,12 +25,6 @@
 from godwitdale_standins import log_service
 from godwitdale_standins import plain_app
 from godwitdale_verdicts import exceptions
-from twisted.internet import task
-
-from godwitdale import agent as agent_lib
-from godwitdale import entry as entry_lib
-from godwitdale import publishing
-from godwitdale import settings as settings_lib
 
 HOST = "127.0.0.1"
 _ENTRIES = 2
@@ -155,13 +156,8 @@
             if isinstance(each, objects.Account):
                 key, declared = keys.generate(each.name)
                 self.account_keys[each.name] = key
-                self.declared[number] = objects.Account(
-                    name=each.name,
-                    labels=each.labels,
-                    keys=[*each.keys, declared],
-                    weight=each.weight,
-                    requests_per_s=each.requests_per_s,
-                    burst_s=each.burst_s,
+                self.declared[number] = structs.replace(
+                    each, keys=[*each.keys, declared]
                 )
 
     def _start_endpoint(self, endpoint: objects.Endpoint) -> None:
--- a/libs/godwitdale/src/godwitdale/membership.py
+++ b/libs/godwitdale/src/godwitdale/membership.py
@@ -4,11 +4,12 @@
 import random
 from typing import Any
 
-from godwitdale_platform import instances as instances_lib
-from godwitdale_verdicts import exceptions
 from twisted.internet import defer
 from twisted.internet import task
 
+from godwitdale_platform import instances as instances_lib
+from godwitdale_verdicts import exceptions
+
 _JITTER = 0.2
 
 
--- a/libs/godwitdale/src/godwitdale/peers.py
+++ b/libs/godwitdale/src/godwitdale/peers.py
@@ -2,14 +2,14 @@
 
 from typing import Any
 
-from godwitdale_link import client
-from godwitdale_link import messages
 from twisted.internet import defer
 
 from godwitdale import feed as feed_lib
 from godwitdale import hosting
 from godwitdale import membership as membership_lib
 from godwitdale import tls
+from godwitdale_link import client
+from godwitdale_link import messages
 
 # A leader may have links to some hundred agents, for a call now and then.
 _TIMING = client.Timing(idle_s=20.0)
--- a/libs/godwitdale/src/godwitdale/problems.py
+++ b/libs/godwitdale/src/godwitdale/problems.py
@@ -3,9 +3,10 @@
 import math
 from typing import Any
 
-from godwitdale_verdicts import outcomes
 import msgspec
 
+from godwitdale_verdicts import outcomes
+
 CONTENT_TYPE = "application/problem+json"
 VERDICT_HEADER = "Godwitdale-Verdict"
 _TYPE_PREFIX = "urn:godwitdale:problem:"
--- a/libs/godwitdale/src/godwitdale/publishing.py
+++ b/libs/godwitdale/src/godwitdale/publishing.py
@@ -4,17 +4,17 @@
 from typing import Any
 import uuid
 
+import msgspec
+import treq
+from twisted.internet import task
+
+from godwitdale import feed as feed_lib
 from godwitdale_declarations import fold as fold_lib
 from godwitdale_declarations import objects
 from godwitdale_declarations import records
 from godwitdale_platform import instances as instances_lib
 from godwitdale_platform import log as log_lib
 from godwitdale_verdicts import exceptions
-import msgspec
-import treq
-from twisted.internet import task
-
-from godwitdale import feed as feed_lib
 
 _RETRY_S = 0.2
 _POLL_S = 0.2
--- a/libs/godwitdale/src/godwitdale/settings.py
+++ b/libs/godwitdale/src/godwitdale/settings.py
@@ -7,10 +7,11 @@
 from typing import Literal
 from typing import TypeVar
 
+import msgspec
+
 from godwitdale_declarations import documents
 from godwitdale_declarations import objects
 from godwitdale_verdicts import exceptions
-import msgspec
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 Url = Annotated[str, msgspec.Meta(pattern=r"^https?://[^/]+/?$")]
--- a/libs/godwitdale/src/godwitdale/streaming.py
+++ b/libs/godwitdale/src/godwitdale/streaming.py
@@ -4,14 +4,14 @@
 import dataclasses
 from typing import Any
 
-from godwitdale_link import messages
-from godwitdale_verdicts import identifiers
-from godwitdale_verdicts import outcomes
-from godwitdale_verdicts import verdict as verdict_lib
 from twisted.internet import interfaces
 from zope.interface import implementer
 
 from godwitdale import problems
+from godwitdale_link import messages
+from godwitdale_verdicts import identifiers
+from godwitdale_verdicts import outcomes
+from godwitdale_verdicts import verdict as verdict_lib
 
 _EVENT_END = b"\n\n"
 _EVENT_STREAM = "text/event-stream"
--- a/libs/godwitdale/src/godwitdale/testing.py
+++ b/libs/godwitdale/src/godwitdale/testing.py
@@ -5,7 +5,6 @@
 processes; the system itself never does.
 """
 
-from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
 import dataclasses
@@ -14,126 +13,24 @@
 import os
 import pathlib
 import signal
-import ssl
 import subprocess
 import sys
 import time
 from typing import Any
-import urllib.parse
 
+import msgspec
+
+from godwitdale import asking
 from godwitdale_declarations import keys
 from godwitdale_declarations import objects
-import msgspec
 
-HOST = "127.0.0.1"
+HOST = asking.HOST
 _START_S = 30.0
 _STOP_S = 15.0
 _POLL_S = 0.05
-_ANSWER_S = 30.0
 _LISTENING = "listening"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
-    """An HTTP answer.
-
-    Attributes:
-        status: The HTTP status.
-        headers: Headers by lower-case name.
-        body: The body.
-    """
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-    @property
-    def verdict(self) -> str:
-        """The verdict that the system gave."""
-        return self.headers.get("godwitdale-verdict", "")
-
-    def json(self) -> Any:
-        """Returns the body as JSON."""
-        return json.loads(self.body)
-
-
-def ask(
-    url: str,
-    method: str = "GET",
-    body: Any = None,
-    headers: dict[str, str] | None = None,
-    timeout_s: float = _ANSWER_S,
-    context: ssl.SSLContext | None = None,
-) -> Answer:
-    """Sends one HTTP request on a connection of its own.
-
-    Args:
-        url: Where to.
-        method: HTTP method.
-        body: Bytes as they are, anything else as JSON, None for no body.
-        headers: Headers to send.
-        timeout_s: Time between two bytes.
-        context: How to verify an ``https`` URL.
-    """
-    with _opened(url, method, body, headers, timeout_s, context) as response:
-        data = response.read()
-        return Answer(response.status, _headers_of(response), data)
-
-
-@contextlib.contextmanager
-def stream(
-    url: str,
-    body: Any,
-    headers: dict[str, str] | None = None,
-    timeout_s: float = _ANSWER_S,
-) -> Iterator[http.client.HTTPResponse]:
-    """Posts a request and gives the open response, to be read line by line.
-
-    Args:
-        url: Where to.
-        body: Sent as JSON.
-        headers: Headers to send.
-        timeout_s: Time between two bytes.
-    """
-    with _opened(url, "POST", body, headers, timeout_s) as response:
-        yield response
-
-
-@contextlib.contextmanager
-def _opened(
-    url: str,
-    method: str,
-    body: Any,
-    headers: dict[str, str] | None,
-    timeout_s: float,
-    context: ssl.SSLContext | None = None,
-) -> Iterator[http.client.HTTPResponse]:
-    parts = urllib.parse.urlsplit(url)
-    host = parts.hostname or HOST
-    connection: http.client.HTTPConnection
-    if context is None:
-        connection = http.client.HTTPConnection(
-            host, parts.port, timeout=timeout_s
-        )
-    else:
-        connection = http.client.HTTPSConnection(
-            host, parts.port, timeout=timeout_s, context=context
-        )
-    data = body
-    if body is not None and not isinstance(body, bytes):
-        data = msgspec.json.encode(body)
-    path = parts.path + (f"?{parts.query}" if parts.query else "")
-    try:
-        connection.request(method, path or "/", data, headers or {})
-        yield connection.getresponse()
-    finally:
-        connection.close()
-
-
-def _headers_of(response: http.client.HTTPResponse) -> dict[str, str]:
-    return {name.lower(): value for name, value in response.getheaders()}
-
-
 class Process:
     """One process of the system.
 
@@ -300,20 +197,20 @@
 
     def faults(self, name: str, **faults: Any) -> None:
         """Sets the faults of a stand-in; what is not named is normal."""
-        ask(f"{self.processes[name].url}/faults", "POST", faults)
+        asking.ask(f"{self.processes[name].url}/faults", "POST", faults)
 
     def records(self, name: str) -> Any:
         """Returns what a stand-in has recorded."""
-        return ask(f"{self.processes[name].url}/records").json()
+        return asking.ask(f"{self.processes[name].url}/records").json()
 
     def relay(self, action: str, body: Any = None) -> None:
         """Tells the relay to ``silence``, ``cut`` or ``refuse``."""
-        ask(f"{self.processes['relay'].url}/{action}", "POST", body)
+        asking.ask(f"{self.processes['relay'].url}/{action}", "POST", body)
 
     def status(self, name: str) -> Any:
         """Returns the status of an entry or an agent."""
         port = self.processes[name].admin_port
-        return ask(f"http://{HOST}:{port}/status", timeout_s=2).json()
+        return asking.ask(f"http://{HOST}:{port}/status", timeout_s=2).json()
 
     def kill(self, name: str) -> None:
         """Kills a process at once."""
@@ -358,7 +255,7 @@
     def unlist(self, name: str) -> None:
         """Removes a daemon from the instance list."""
         url = self.processes["instances"].url
-        ask(f"{url}/instances/{name}", "DELETE")
+        asking.ask(f"{url}/instances/{name}", "DELETE")
 
     def publish(
         self, declared: Sequence[objects.Object], wait_s: float = 13.0
@@ -553,9 +450,11 @@
                 "endpoint": own.get("endpoint", ""),
             }
         url = self.processes["instances"].url
-        ask(f"{url}/instances/{name}", "PUT", self._listed[name])
+        asking.ask(f"{url}/instances/{name}", "PUT", self._listed[name])
 
     def _relayed_port(self, port: int) -> int:
         url = self.processes["relay"].url
-        answer = ask(f"{url}/routes", "POST", {"host": HOST, "port": port})
+        answer = asking.ask(
+            f"{url}/routes", "POST", {"host": HOST, "port": port}
+        )
         return answer.json()["port"]
--- a/libs/godwitdale/src/godwitdale/work.py
+++ b/libs/godwitdale/src/godwitdale/work.py
@@ -1,8 +1,9 @@
 """One request at an agent, and the passing on of its answer."""
 
+from twisted.internet import defer
+
 from godwitdale_link import messages
 from godwitdale_link import server as link_server
-from twisted.internet import defer
 
 _EVENT_END = b"\n\n"
 _EVENT_STREAM = "text/event-stream"
--- a/libs/link/src/godwitdale_link/answers.py
+++ b/libs/link/src/godwitdale_link/answers.py
@@ -3,11 +3,11 @@
 import dataclasses
 import enum
 
-from godwitdale_verdicts import identifiers
 import msgspec
 import xxhash
 
 from godwitdale_link import messages
+from godwitdale_verdicts import identifiers
 
 
 class AnswerLog:
--- a/libs/link/src/godwitdale_link/client.py
+++ b/libs/link/src/godwitdale_link/client.py
@@ -10,10 +10,6 @@
 from typing import Any
 from typing import Protocol
 
-import automat
-from godwitdale_verdicts import identifiers
-from godwitdale_verdicts import outcomes
-from godwitdale_verdicts import verdict as verdict_lib
 from msgspec import structs
 from twisted.internet import defer
 from twisted.internet import error
@@ -22,8 +18,11 @@
 from twisted.python import failure
 
 from godwitdale_link import answers
-from godwitdale_link import framing
+from godwitdale_link import connection as connection_lib
 from godwitdale_link import messages
+from godwitdale_verdicts import identifiers
+from godwitdale_verdicts import outcomes
+from godwitdale_verdicts import verdict as verdict_lib
 
 
 class Receiver(Protocol):
@@ -108,83 +107,6 @@
     handed_over: bool = False
 
 
-class _Connection(framing.MessageProtocol):
-    """One TCP connection to the agent."""
-
-    decoder = messages.from_agent_decoder
-
-    def __init__(self, link: "AgentLink") -> None:
-        super().__init__()
-        self._link = link
-        self.last_heard_s = 0.0
-        self.pinged_at_s = 0.0
-        self.unanswered_since_s: float | None = None
-
-    def connectionMade(self) -> None:  # noqa: N802
-        framing.set_no_delay(self.transport)
-        self._link.connection_made(self)
-
-    def message_received(self, message: Any) -> None:
-        self._link.message_received(self, message)
-
-    def connectionLost(  # noqa: N802
-        self, reason: failure.Failure = protocol.connectionDone
-    ) -> None:
-        self._link.connection_lost(self)
-
-
-class _MachineInputs(Protocol):
-    """Inputs of the connection's state machine."""
-
-    def wanted(self) -> None:
-        """Something is to be sent."""
-
-    def opened(self) -> None:
-        """The agent has answered ``Hello``."""
-
-    def broken(self) -> None:
-        """The connection failed, was lost or fell silent."""
-
-    def closed(self) -> None:
-        """The link is not needed any more."""
-
-
-class _Opener:
-    """Core of the state machine: opens connections."""
-
-    def __init__(self, open_connection: Callable[[], None]) -> None:
-        self.open_connection = open_connection
-
-
-_builder = automat.TypeMachineBuilder(_MachineInputs, _Opener)
-_idle = _builder.state("idle")
-_connecting = _builder.state("connecting")
-_open = _builder.state("open")
-_waiting = _builder.state("waiting")
-_shut = _builder.state("shut")
-
-
-@_idle.upon(_MachineInputs.wanted).to(_connecting)
-@_waiting.upon(_MachineInputs.wanted).to(_connecting)
-def _start_connecting(inputs: _MachineInputs, core: _Opener) -> None:
-    core.open_connection()
-
-
-_connecting.upon(_MachineInputs.wanted).loop().returns(None)
-_open.upon(_MachineInputs.wanted).loop().returns(None)
-_shut.upon(_MachineInputs.wanted).loop().returns(None)
-_connecting.upon(_MachineInputs.opened).to(_open).returns(None)
-for _state in (_idle, _waiting, _shut):
-    _state.upon(_MachineInputs.broken).loop().returns(None)
-for _state in (_connecting, _open):
-    _state.upon(_MachineInputs.broken).to(_waiting).returns(None)
-for _state in (_idle, _connecting, _open, _waiting):
-    _state.upon(_MachineInputs.closed).to(_shut).returns(None)
-_shut.upon(_MachineInputs.closed).loop().returns(None)
-_shut.upon(_MachineInputs.opened).loop().returns(None)
-_Machine = _builder.build()
-
-
 def _lost(attempt: _Attempt, endpoint: str) -> outcomes.Refusal:
     if attempt.handed_over:
         return outcomes.may_have_run(
@@ -235,7 +157,7 @@
         self._attempts: dict[identifiers.RequestId, _Attempt] = {}
         self._agent = ""
         self._connections = 0
-        self._live: _Connection | None = None
+        self._live: connection_lib.AgentConnection | None = None
         self._is_open = False
         self._questions: dict[
             int, tuple[messages.Call, defer.Deferred[bytes]]
@@ -245,7 +167,9 @@
         self._has_failed = False
         self._timer: Any = None
         self._connecting: Any = None
-        self._machine = _Machine(_Opener(self._open_connection))
+        self._machine = connection_lib.Machine(
+            connection_lib.Opener(self._open_connection)
+        )
 
     @property
     def is_open(self) -> bool:
@@ -339,7 +263,9 @@
         self._drop_live()
         self._lose_all()
 
-    def connection_made(self, connection: _Connection) -> None:
+    def connection_made(
+        self, connection: connection_lib.AgentConnection
+    ) -> None:
         """Is told by a connection that it stands."""
         if self._live is not None:
             self._live.ignore_input()
@@ -354,13 +280,17 @@
         )
         connection.send(hello)
 
-    def connection_lost(self, connection: _Connection) -> None:
+    def connection_lost(
+        self, connection: connection_lib.AgentConnection
+    ) -> None:
         """Is told by a connection that it has ended."""
         if connection is self._live:
             self._live = None
             self._broken()
 
-    def message_received(self, connection: _Connection, message: Any) -> None:
+    def message_received(
+        self, connection: connection_lib.AgentConnection, message: Any
+    ) -> None:
         """Takes a message of the live connection."""
         if connection is not self._live:
             return
@@ -389,7 +319,9 @@
         self._connections += 1
         if self._down_since_s is None:
             self._down_since_s = self._clock.seconds()
-        factory = protocol.Factory.forProtocol(lambda: _Connection(self))
+        factory = protocol.Factory.forProtocol(
+            lambda: connection_lib.AgentConnection(self)
+        )
         opening = self._connect.connect(factory)
         self._connecting = opening
         opening.addTimeout(self._timing.connect_s, self._clock)
@@ -436,7 +368,7 @@
         if self._is_open or self._attempts or self._live is not None:
             self._arm_timer()
 
-    def _ping_if_due(self, live: _Connection) -> None:
+    def _ping_if_due(self, live: connection_lib.AgentConnection) -> None:
         now_s = self._clock.seconds()
         is_silent = now_s - live.last_heard_s >= self._timing.heartbeat_s
         is_needed = bool(self._attempts) and is_silent
--- a/libs/link/src/godwitdale_link/messages.py
+++ b/libs/link/src/godwitdale_link/messages.py
@@ -3,9 +3,10 @@
 All times are durations in seconds: the two ends share no clock.
 """
 
-from godwitdale_verdicts import identifiers
 import msgspec
 
+from godwitdale_verdicts import identifiers
+
 PROTOCOL_VERSION = 1
 MOST_FRAME_BYTES = 16 * 1024 * 1024
 
--- a/libs/link/src/godwitdale_link/server.py
+++ b/libs/link/src/godwitdale_link/server.py
@@ -6,8 +6,6 @@
 from typing import Any
 from typing import Protocol
 
-from godwitdale_verdicts import identifiers
-from godwitdale_verdicts import outcomes
 import msgspec
 from twisted.internet import defer
 from twisted.internet import protocol
@@ -17,6 +15,8 @@
 from godwitdale_link import framing
 from godwitdale_link import memory
 from godwitdale_link import messages
+from godwitdale_verdicts import identifiers
+from godwitdale_verdicts import outcomes
 
 _MOST_REMEMBERED_IDS = 50_000
 _FIRST_DATA_FRAME = 1
--- a/libs/platform/src/godwitdale_platform/instances.py
+++ b/libs/platform/src/godwitdale_platform/instances.py
@@ -7,10 +7,11 @@
 from typing import Any
 from typing import Literal
 
-from godwitdale_verdicts import exceptions
 import msgspec
 import treq
 
+from godwitdale_verdicts import exceptions
+
 _OK = 200
 _NOT_MODIFIED = 304
 
--- a/libs/platform/src/godwitdale_platform/log.py
+++ b/libs/platform/src/godwitdale_platform/log.py
@@ -10,13 +10,14 @@
 from typing import Any
 from typing import Protocol
 
-from godwitdale_verdicts import exceptions
 import msgspec
 import treq
 from twisted.internet import error
 from twisted.web import client
 from twisted.web import iweb
 
+from godwitdale_verdicts import exceptions
+
 _CREATED = 201
 _OK = 200
 _MOST_RECORDS = 1000
--- a/libs/routing/src/godwitdale_routing/admission.py
+++ b/libs/routing/src/godwitdale_routing/admission.py
@@ -2,9 +2,8 @@
 
 import dataclasses
 
-from godwitdale_verdicts import outcomes
-
 from godwitdale_routing import queueing
+from godwitdale_verdicts import outcomes
 
 _EWMA_WEIGHT = 0.1
 _LEAST_RETRY_AFTER_S = 0.1
--- a/libs/routing/src/godwitdale_routing/attempts.py
+++ b/libs/routing/src/godwitdale_routing/attempts.py
@@ -3,11 +3,10 @@
 import dataclasses
 import enum
 
+from godwitdale_routing import retries
 from godwitdale_verdicts import outcomes
 from godwitdale_verdicts import verdict as verdict_lib
 
-from godwitdale_routing import retries
-
 
 class Keyed(enum.Enum):
     """Whether claims in the log guard the request against a second run."""
--- a/libs/standins/src/godwitdale_standins/rank_group.py
+++ b/libs/standins/src/godwitdale_standins/rank_group.py
@@ -8,13 +8,14 @@
 
 from typing import Any
 
-from godwitdale_experts import placement as placement_lib
-from godwitdale_experts import switch
 import klein
 import msgspec
 import numpy as np
 from twisted.internet import reactor as default_reactor
 
+from godwitdale_experts import placement as placement_lib
+from godwitdale_experts import switch
+
 _BASE_STEP_S = 0.005
 
 
--- a/tests/model/test_models.py
+++ b/tests/model/test_models.py
@@ -1,6 +1,5 @@
 """Every specification holds, and breaks when a rule is removed."""
 
-import checking
 import claims
 import declaring
 import draining
@@ -9,6 +8,8 @@
 import pytest
 import switching
 
+import checking
+
 SPECIFICATIONS = [
     each.SPECIFICATION
     for each in (claims, link, declaring, switching, leases, draining)
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -10,10 +10,12 @@
 import time
 import uuid
 
+import pytest
+
 import builders
+from godwitdale import asking
 from godwitdale import testing
 from godwitdale_declarations import objects
-import pytest
 
 
 @pytest.fixture
@@ -36,7 +38,7 @@
 
 
 def book(cluster, key, entry=1, body=None, timeout_s=20):
-    return testing.ask(
+    return asking.ask(
         cluster.entry_url(entry) + "/orders",
         "POST",
         body or {"bags": key},
@@ -54,7 +56,7 @@
 
 
 def draft(cluster, tokens=40, stream=True, entry=1):
-    return testing.ask(
+    return asking.ask(
         cluster.entry_url(entry) + builders.CHAT_PATH,
         "POST",
         builders.chat(tokens=tokens, stream=stream),
@@ -252,7 +254,7 @@
 def test_a_caller_whose_entry_dies_resumes_at_another(cluster):
     words = []
     last_id = ""
-    with testing.stream(
+    with asking.stream(
         cluster.entry_url(1) + builders.CHAT_PATH,
         builders.chat(tokens=60),
         cluster.headers("buyer"),
@@ -265,7 +267,7 @@
             if len(words) == 10:
                 break
         cluster.kill("entry-1")
-    resumed = testing.ask(
+    resumed = asking.ask(
         cluster.entry_url(2) + builders.CHAT_PATH,
         "POST",
         builders.chat(tokens=60),
--- a/tests/system/test_groups.py
+++ b/tests/system/test_groups.py
@@ -5,9 +5,11 @@
 
 import time
 
+import pytest
+
 import builders
+from godwitdale import asking
 from godwitdale import testing
-import pytest
 
 RANKS = 3
 STREAM = f"group-{builders.GROUP}"
@@ -121,7 +123,7 @@
         heat(cluster, hot)
         for number in range(RANKS):
             time.sleep(0.35)
-            testing.ask(f"{url}/ranks/{number}/replace", "POST")
+            asking.ask(f"{url}/ranks/{number}/replace", "POST")
     wait_for_switches(cluster, 1)
     assert_one_map_a_step(cluster)
     wait_stepping(cluster)
--- a/tests/system/test_path.py
+++ b/tests/system/test_path.py
@@ -5,11 +5,13 @@
 import socket
 import time
 
-import builders
-from godwitdale import testing
 import msgspec
 import pytest
 
+import builders
+from godwitdale import asking
+from godwitdale import testing
+
 
 @pytest.fixture(scope="module")
 def cluster(tmp_path_factory):
@@ -19,7 +21,7 @@
 
 
 def test_a_draft_is_streamed_and_whole(cluster):
-    answer = testing.ask(
+    answer = asking.ask(
         cluster.entry_url() + builders.CHAT_PATH,
         "POST",
         builders.chat(tokens=5),
@@ -35,7 +37,7 @@
 
 
 def test_a_draft_is_answered_whole_without_streaming(cluster):
-    answer = testing.ask(
+    answer = asking.ask(
         cluster.entry_url() + builders.CHAT_PATH,
         "POST",
         builders.chat(tokens=5, stream=False),
@@ -48,7 +50,7 @@
 def test_a_booking_sent_through_both_entries_has_one_effect(cluster):
     codes = []
     for number in (1, 2, 1):
-        answer = testing.ask(
+        answer = asking.ask(
             cluster.entry_url(number) + "/orders",
             "POST",
             {"bags": 3},
@@ -65,8 +67,8 @@
 def test_a_key_with_another_body_is_refused(cluster):
     url = cluster.entry_url() + "/orders"
     headers = cluster.headers("mill", Idempotency_Key="two")
-    first = testing.ask(url, "POST", {"bags": 1}, headers)
-    second = testing.ask(url, "POST", {"bags": 2}, headers)
+    first = asking.ask(url, "POST", {"bags": 1}, headers)
+    second = asking.ask(url, "POST", {"bags": 2}, headers)
     assert first.status == 201
     assert second.status == 422
     assert second.json()["verdict"] == "not-run"
@@ -75,7 +77,7 @@
 def test_accounts_do_not_share_keys(cluster):
     url = cluster.entry_url() + "/orders"
     answers = [
-        testing.ask(
+        asking.ask(
             url,
             "POST",
             {"of": account},
@@ -87,7 +89,7 @@
 
 
 def test_a_caller_cannot_pose_as_another_account(cluster):
-    answer = testing.ask(
+    answer = asking.ask(
         cluster.entry_url() + "/orders",
         "POST",
         {"spoof": True},
@@ -117,7 +119,7 @@
     ],
 )
 def test_bad_input_is_refused_as_not_run(cluster, change, status):
-    answer = testing.ask(
+    answer = asking.ask(
         cluster.entry_url() + change.get("path", builders.CHAT_PATH),
         "POST",
         change.get("body", builders.chat()),
@@ -134,7 +136,7 @@
         len(cluster.records(f"endpoint-engine-{n}")["cancelled"])
         for n in (1, 2)
     ]
-    with testing.stream(
+    with asking.stream(
         cluster.entry_url() + builders.CHAT_PATH,
         builders.chat(tokens=2000),
         cluster.headers("buyer"),
@@ -167,7 +169,7 @@
     with socket.create_connection((testing.HOST, port)) as abuser:
         with contextlib.suppress(OSError):
             abuser.sendall(sent)
-        answer = testing.ask(
+        answer = asking.ask(
             cluster.entry_url() + "/v1/models", headers=cluster.headers("mill")
         )
     assert answer.status == 200
@@ -181,7 +183,7 @@
     head = "POST /v1/chat/completions HTTP/1.1\r\n" + "\r\n".join(lines)
     with socket.create_connection((testing.HOST, port)) as idler:
         idler.sendall(head.encode() + b"\r\n\r\n" + body)
-        answer = testing.ask(
+        answer = asking.ask(
             cluster.entry_url() + builders.CHAT_PATH,
             "POST",
             builders.chat(tokens=3),
@@ -191,7 +193,7 @@
 
 
 def test_models_are_listed(cluster):
-    answer = testing.ask(
+    answer = asking.ask(
         cluster.entry_url() + "/v1/models", headers=cluster.headers("mill")
     )
     assert [each["id"] for each in answer.json()["data"]] == [builders.MODEL]
@@ -199,18 +201,18 @@
 
 def test_a_stream_resumes_at_another_entry_for_the_same_account(cluster):
     url = cluster.entry_url(1) + builders.CHAT_PATH
-    whole = testing.ask(
+    whole = asking.ask(
         url, "POST", builders.chat(tokens=6), cluster.headers("buyer")
     )
     events = whole.body.decode().strip().split("\n\n")
     last_id = events[2].splitlines()[0].removeprefix("id: ")
-    resumed = testing.ask(
+    resumed = asking.ask(
         cluster.entry_url(2) + builders.CHAT_PATH,
         "POST",
         builders.chat(tokens=6),
         cluster.headers("buyer", Last_Event_ID=last_id),
     )
-    stolen = testing.ask(
+    stolen = asking.ask(
         cluster.entry_url(2) + builders.CHAT_PATH,
         "POST",
         builders.chat(tokens=6),
@@ -222,7 +224,7 @@
 
 
 def test_logs_tell_the_verdict_and_never_a_key_or_a_body(cluster):
-    testing.ask(
+    asking.ask(
         cluster.entry_url() + builders.CHAT_PATH,
         "POST",
         builders.chat(text="secret-text"),
@@ -258,14 +260,14 @@
     plan = testing.Plan(declared=builders.declared(engines=1, apps=0))
     with testing.Cluster(plan, tmp_path) as cluster:
         url = cluster.entry_url() + builders.CHAT_PATH
-        with testing.stream(
+        with asking.stream(
             url, builders.chat(tokens=60), cluster.headers("buyer")
         ) as response:
             response.readline()
             cluster.terminate("entry-1")
             cluster.terminate("agent-engine-1")
             time.sleep(0.3)
-            refused = testing.ask(
+            refused = asking.ask(
                 url, "POST", builders.chat(), cluster.headers("buyer")
             )
             rest = response.read().decode()
--- a/tests/system/test_tls.py
+++ b/tests/system/test_tls.py
@@ -5,13 +5,14 @@
 
 import builders
 import certificates
+from godwitdale import asking
 from godwitdale import testing
 
 
 def ask(cluster, authority):
     context = ssl.create_default_context(cafile=authority.file)
     url = cluster.entry_url().replace("http://", "https://")
-    return testing.ask(
+    return asking.ask(
         url + builders.CHAT_PATH,
         "POST",
         builders.chat(tokens=3),
@@ -66,7 +67,7 @@
     with testing.Cluster(plan, tmp_path) as cluster:
         stranger = {**theirs.issue("stranger"), "authority": ours.file}
         cluster.reconfigure("entry-2", peer_tls=stranger)
-        answer = testing.ask(
+        answer = asking.ask(
             cluster.entry_url(2) + builders.CHAT_PATH,
             "POST",
             builders.chat(),
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -2,13 +2,14 @@
 
 import random
 
-from godwitdale_claims import claimant as claimant_lib
-from godwitdale_claims import ledger as ledger_lib
-from godwitdale_claims import records
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
 
+from godwitdale_claims import claimant as claimant_lib
+from godwitdale_claims import ledger as ledger_lib
+from godwitdale_claims import records
+
 
 class SharedLog:
     """A log whose append answers can be lost."""
--- a/tests/unit/test_experts.py
+++ b/tests/unit/test_experts.py
@@ -1,10 +1,11 @@
 """Placement and the decision to move."""
 
-from godwitdale_experts import placement
-from godwitdale_experts import rebalance
 import numpy as np
 import pytest
 
+from godwitdale_experts import placement
+from godwitdale_experts import rebalance
+
 SHAPES = [
     placement.Shape(8, 64, 10),
     placement.Shape(64, 64, 4),
--- a/tests/unit/test_files.py
+++ b/tests/unit/test_files.py
@@ -3,6 +3,8 @@
 import json
 import pathlib
 
+import pytest
+
 from godwitdale import settings
 from godwitdale_declarations import files
 from godwitdale_declarations import keys
@@ -10,7 +12,6 @@
 from godwitdale_declarations import selectors
 from godwitdale_declarations import view
 from godwitdale_verdicts import exceptions
-import pytest
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
 ENTRY = {
--- a/tests/unit/test_fold.py
+++ b/tests/unit/test_fold.py
@@ -2,13 +2,14 @@
 
 import random
 
-from godwitdale_declarations import fold as fold_lib
-from godwitdale_declarations import objects
-from godwitdale_declarations import records
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
 
+from godwitdale_declarations import fold as fold_lib
+from godwitdale_declarations import objects
+from godwitdale_declarations import records
+
 NAMES = ("w1", "w2", "w3")
 
 
--- a/tests/unit/test_group.py
+++ b/tests/unit/test_group.py
@@ -1,8 +1,9 @@
 """The fold of a group's stream."""
 
+import pytest
+
 from godwitdale_experts import group
 from godwitdale_experts import switch
-import pytest
 
 TERM_S = 6.0
 
--- a/tests/unit/test_link.py
+++ b/tests/unit/test_link.py
@@ -2,14 +2,15 @@
 
 import random
 
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet import task
+
 from godwitdale_link import answers
 from godwitdale_link import memory
 from godwitdale_link import messages
 from godwitdale_link import server
 from godwitdale_verdicts import identifiers
-from hypothesis import given
-from hypothesis import strategies as st
-from twisted.internet import task
 
 LOAD = messages.Load(0, 0, 1, 1.0, 0.0, 1.0, False)
 POSITION = messages.Position(0, 0.0)
--- a/tests/unit/test_observe.py
+++ b/tests/unit/test_observe.py
@@ -1,9 +1,10 @@
 """Histograms, life cycle and tables."""
 
+from twisted.internet import task
+
 from godwitdale import lifecycle
 from godwitdale import tables
 from godwitdale_observe import histograms
-from twisted.internet import task
 
 
 def test_histograms_are_bounded_at_many_accounts():
--- a/tests/unit/test_queueing.py
+++ b/tests/unit/test_queueing.py
@@ -1,11 +1,12 @@
 """Fair queueing against a naive version, and admission."""
 
-from godwitdale_routing import admission
-from godwitdale_routing import queueing
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
 
+from godwitdale_routing import admission
+from godwitdale_routing import queueing
+
 
 def ticket(account="a", priority=5, deadline_at_s=100.0, weight=1.0):
     return queueing.Ticket(account, weight, priority, deadline_at_s)
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from godwitdale_routing import attempts
 from godwitdale_routing import choice
 from godwitdale_routing import health
@@ -10,7 +12,6 @@
 from godwitdale_routing import retries
 from godwitdale_routing import subsets
 from godwitdale_verdicts import outcomes
-import pytest
 
 LOST = outcomes.may_have_run(outcomes.Reason.ENDPOINT_LOST, "lost")
 UNSENT = outcomes.not_run(outcomes.Reason.ENDPOINT_LOST, "unsent")
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -9,16 +9,21 @@
 import pathlib
 import sys
 
+_OBJECTS_LIKE_MODULES = {"twisted.internet.reactor"}
 _EXEMPT = {"typing", "collections.abc", "zope.interface", "__future__"}
 
 
 def _is_module(package: str, name: str) -> bool:
-    if package == "twisted.internet" and name == "reactor":
-        return True
+    full_name = f"{package}.{name}"
     try:
-        return importlib.util.find_spec(f"{package}.{name}") is not None
+        importlib.util.find_spec(full_name)
     except ModuleNotFoundError:
         return False
+    except ValueError:  # A module that hides how it was loaded.
+        return full_name in sys.modules
+    if full_name in _OBJECTS_LIKE_MODULES:
+        return True
+    return importlib.util.find_spec(full_name) is not None
 
 
 def faults_of(file: pathlib.Path) -> list[str]:
