Let one piece serve where a rule stood twice

Cause: a last reading. The rule that keeps an earlier doubt stood in attempts.py and again in dispatch.py; the frame of a refusal was built in three places; an event identifier was formatted in two ways, one of them never called; the test harness had a method that nothing used. Change: attempts.keep_doubt and answers.refused_frame serve all callers; the dead formatting and method are gone. No check or expectation is touched. Before and after: 167 unit, path and failure tests and the linters pass. Conclusion: behaviour is unchanged.

--- a/libs/godwitdale/src/godwitdale/dispatch.py
+++ b/libs/godwitdale/src/godwitdale/dispatch.py
@@ -228,7 +228,7 @@
         refusal = outcomes.not_run(
             outcomes.Reason.DEADLINE, "no endpoint began in time"
         )
-        self._refuse(self._with_doubt(refusal))
+        self._refuse(attempts_lib.keep_doubt(refusal, self._in_doubt))
 
     def _situation(self) -> attempts_lib.Situation:
         is_keyed = self._job.key is not None
@@ -307,20 +307,13 @@
 
     def _nobody(self) -> outcomes.Refusal:
         if self._last is not None:
-            return self._with_doubt(self._last)
+            return attempts_lib.keep_doubt(self._last, self._in_doubt)
         return outcomes.not_run(
             outcomes.Reason.NO_ENDPOINT,
             f"no endpoint of selector {self._job.selector.name} takes work",
             retry_after_s=_NO_ENDPOINT_RETRY_S,
         )
 
-    def _with_doubt(self, refusal: outcomes.Refusal) -> outcomes.Refusal:
-        if not self._in_doubt:
-            return refusal
-        return dataclasses.replace(
-            refusal, verdict=verdict_lib.Verdict.MAY_HAVE_RUN
-        )
-
     def _deadline_passed(self) -> None:
         """Takes the request back where it has not started.
 
--- a/libs/godwitdale/src/godwitdale/streaming.py
+++ b/libs/godwitdale/src/godwitdale/streaming.py
@@ -34,14 +34,9 @@
     frame: int
     index: int
 
-    def __str__(self) -> str:
-        return _SEPARATOR.join(
-            [self.endpoint, str(self.request_id), f"{self.frame}.{self.index}"]
-        )
-
     @classmethod
     def parse(cls, text: str) -> "EventId":
-        """Reads the ``Last-Event-ID`` that a caller sends.
+        """Reads ``ENDPOINT~REQUEST~FRAME.INDEX``, a caller's ``Last-Event-ID``.
 
         Raises:
             ValueError: It is none of ours.
--- a/libs/godwitdale/src/godwitdale/testing.py
+++ b/libs/godwitdale/src/godwitdale/testing.py
@@ -252,11 +252,6 @@
         self._listed[name]["state"] = state
         self._list(name)
 
-    def unlist(self, name: str) -> None:
-        """Removes a daemon from the instance list."""
-        url = self.processes["instances"].url
-        asking.ask(f"{url}/instances/{name}", "DELETE")
-
     def publish(
         self, declared: Sequence[objects.Object], wait_s: float = 13.0
     ) -> subprocess.CompletedProcess[str]:
--- a/libs/link/src/godwitdale_link/answers.py
+++ b/libs/link/src/godwitdale_link/answers.py
@@ -8,6 +8,25 @@
 
 from godwitdale_link import messages
 from godwitdale_verdicts import identifiers
+from godwitdale_verdicts import outcomes
+
+
+def refused_frame(
+    request_id: identifiers.RequestId, refusal: outcomes.Refusal
+) -> messages.Refused:
+    """Returns the frame that ends an attempt with a refusal.
+
+    Args:
+        request_id: The attempt.
+        refusal: The refusal.
+    """
+    return messages.Refused(
+        request_id,
+        refusal.reason.value,
+        refusal.detail,
+        refusal.verdict.value,
+        refusal.retry_after_s,
+    )
 
 
 class AnswerLog:
--- a/libs/link/src/godwitdale_link/server.py
+++ b/libs/link/src/godwitdale_link/server.py
@@ -137,13 +137,7 @@
     def refuse(self, refusal: outcomes.Refusal) -> None:
         """Ends the request without an answer, or without the rest of it."""
         self.flush()
-        refused = messages.Refused(
-            self.log.id,
-            refusal.reason.value,
-            refusal.detail,
-            refusal.verdict.value,
-            refusal.retry_after_s,
-        )
+        refused = answers.refused_frame(self.log.id, refusal)
         self._server.publish(self, self.log.refuse(refused))
         self._server.finished(self)
 
@@ -380,14 +374,7 @@
         refusal = outcomes.not_run(
             outcomes.Reason.REVOKED, "the attempt was revoked in time"
         )
-        connection.send(
-            messages.Refused(
-                request_id,
-                refusal.reason.value,
-                refusal.detail,
-                refusal.verdict.value,
-            )
-        )
+        connection.send(answers.refused_frame(request_id, refusal))
 
     def _send_lost(
         self, connection: _EntryConnection, request_id: identifiers.RequestId
@@ -395,14 +382,7 @@
         refusal = outcomes.may_have_run(
             outcomes.Reason.ANSWER_LOST, "the answer is not kept any more"
         )
-        connection.send(
-            messages.Refused(
-                request_id,
-                refusal.reason.value,
-                refusal.detail,
-                refusal.verdict.value,
-            )
-        )
+        connection.send(answers.refused_frame(request_id, refusal))
 
     def _resume(
         self, connection: _EntryConnection, message: messages.Resume
--- a/libs/routing/src/godwitdale_routing/attempts.py
+++ b/libs/routing/src/godwitdale_routing/attempts.py
@@ -97,15 +97,18 @@
     )
     if may_retry and budget.take():
         return TryAgain()
-    return GiveUp(_truthful(refusal, situation))
+    return GiveUp(keep_doubt(refusal, situation.in_doubt))
 
 
-def _truthful(
-    refusal: outcomes.Refusal, situation: Situation
-) -> outcomes.Refusal:
-    """Keeps an earlier doubt: the last attempt speaks only for itself."""
+def keep_doubt(refusal: outcomes.Refusal, in_doubt: bool) -> outcomes.Refusal:
+    """Keeps an earlier doubt: the last attempt speaks only for itself.
+
+    Args:
+        refusal: How the last attempt ended.
+        in_doubt: Whether an earlier attempt may have run.
+    """
     is_not_run = refusal.verdict is verdict_lib.Verdict.NOT_RUN
-    if not (is_not_run and situation.in_doubt):
+    if not (is_not_run and in_doubt):
         return refusal
     return dataclasses.replace(
         refusal, verdict=verdict_lib.Verdict.MAY_HAVE_RUN
