Run on the users' platform: entries that call endpoints directly

Cause: the platform has no log service, instance list or agents of ours; its callers, endpoints and store speak HTTP/1.1 with headers and records of their own.

Change: libs/http (h11 over Twisted: channels to callers and endpoints), libs/gateway (configuration and endpoints followed in a compacted topic, forwarding with retries, resume and deadlines, drain), routes and freshness in libs/routing, the life cycle moved to libs/process so that both daemons share it, platform/ (settings, headers, records, store client), deploy/.

Ruled out: klein and treq on this path, which hide where an answer ends and what follows it; agents before each endpoint (docs/PLATFORM.md).

--- a/Makefile
+++ b/Makefile
@@ -6,12 +6,12 @@
 
 install: $(STAMP)
 
-$(STAMP): requirements.lock $(wildcard libs/*/pyproject.toml)
+$(STAMP): requirements.lock $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || python3 -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
 	  --requirement requirements.lock
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
-	  --no-deps --no-build-isolation $(addprefix --editable ,$(wildcard libs/*))
+	  --no-deps --no-build-isolation $(addprefix --editable ,$(wildcard libs/*) platform)
 	touch $(STAMP)
 
 demo: install
@@ -24,12 +24,12 @@
 	$(BIN)/python -m pytest -n 0 -s tests/model
 
 format: install
-	$(BIN)/ruff format libs tests tools
-	$(BIN)/ruff check --fix libs tests tools
+	$(BIN)/ruff format libs platform tests tools
+	$(BIN)/ruff check --fix libs platform tests tools
 
 lint: install
-	$(BIN)/ruff format --check libs tests tools
-	$(BIN)/ruff check libs tests tools
-	$(BIN)/python tools/check_imports.py libs tests tools
+	$(BIN)/ruff format --check libs platform tests tools
+	$(BIN)/ruff check libs platform tests tools
+	$(BIN)/python tools/check_imports.py libs platform tests tools
 	$(BIN)/lint-imports
-	$(BIN)/mypy libs/*/src
+	$(BIN)/mypy libs/*/src platform/src
--- /dev/null
+++ b/libs/gateway/src/godwitdale_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Entries that call endpoints directly over HTTP, without agents."""
--- /dev/null
+++ b/libs/gateway/src/godwitdale_gateway/following.py
@@ -0,0 +1,184 @@
+"""Keeps a copy of a compacted topic of the platform's store."""
+
+import dataclasses
+import random
+from typing import Any
+from typing import Protocol
+
+from twisted.internet import defer
+
+from godwitdale_observe import logs
+from godwitdale_routing import retries
+from godwitdale_verdicts import exceptions
+
+# Bounds of the pause after a failed call: short enough for a change to be
+# noticed well within the time in which it has to be in force.
+_BACKOFF_BASE_S = 0.1
+_BACKOFF_MOST_S = 0.8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """One record of a topic.
+
+    Attributes:
+        key: Its key.
+        value: Its value, or None where the key is dropped.
+    """
+
+    key: str
+    value: bytes | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """What a read returned.
+
+    Attributes:
+        items: Records in order.
+        next_offset: Where the next read begins.
+        is_snapshot: Whether these are the newest records of all keys.
+    """
+
+    items: list[Item]
+    next_offset: int
+    is_snapshot: bool = False
+
+
+class Topic(Protocol):
+    """One topic of the store.
+
+    Both calls raise ``exceptions.PlatformUnavailableError``.
+    """
+
+    name: str
+
+    async def newest(self) -> Page:
+        """Returns the newest record of each key."""
+
+    async def read(self, offset: int, wait_s: float) -> Page | None:
+        """Returns the records from an offset on, or None if they are gone.
+
+        Args:
+            offset: The first offset that is wanted.
+            wait_s: How long to wait for a record where there is none.
+        """
+
+
+class Copy(Protocol):
+    """What follows a topic."""
+
+    def take(self, page: Page) -> None:
+        """Takes records."""
+
+    def confirm(self, as_of_s: float) -> None:
+        """Is told that it was complete at a moment."""
+
+    def poll_s(self) -> float:
+        """Returns how long the next read may wait."""
+
+
+class Follower:
+    """Reads a topic from its newest records on, for as long as it runs.
+
+    Attributes:
+        is_reached: Whether the last call was answered.
+        reached_s: When a call was last answered after one that was not.
+    """
+
+    def __init__(
+        self,
+        topic: Topic,
+        copy: Copy,
+        reactor: Any,
+        rng: random.Random,
+        log: logs.EventLog,
+    ) -> None:
+        """Prepares; nothing is read until ``run``.
+
+        Args:
+            topic: What to read.
+            copy: Takes what was read.
+            reactor: The Twisted reactor.
+            rng: Source of jitter.
+            log: The log of decisions.
+        """
+        self.is_reached = False
+        self.reached_s = reactor.seconds()
+        self._topic = topic
+        self._copy = copy
+        self._reactor = reactor
+        self._rng = rng
+        self._log = log
+        self._next: int | None = None
+        self._failures = 0
+        self._is_stopped = False
+
+    async def run(self) -> None:
+        """Reads until ``stop``."""
+        while not self._is_stopped:
+            try:
+                await self._read_once()
+            except exceptions.PlatformUnavailableError as failed:
+                self._note_failure(failed)
+                await self._sleep(
+                    retries.backoff_s(
+                        self._failures,
+                        _BACKOFF_BASE_S,
+                        _BACKOFF_MOST_S,
+                        self._rng,
+                    )
+                )
+            else:
+                self._note_success()
+
+    def stop(self) -> None:
+        """Ends ``run`` after the call in progress."""
+        self._is_stopped = True
+
+    async def _read_once(self) -> None:
+        asked_s = self._reactor.seconds()
+        if self._next is None:
+            page = await self._topic.newest()
+            self._take(page, asked_s)
+            return
+        wait_s = self._copy.poll_s()
+        following = await self._topic.read(self._next, wait_s)
+        if following is None:
+            self._log.info("history_forgotten", topic=self._topic.name)
+            self._next = None
+            return
+        answered_s = self._reactor.seconds()
+        is_empty = not following.items and answered_s >= asked_s + wait_s
+        self._take(following, asked_s + wait_s if is_empty else asked_s)
+
+    def _take(self, page: Page, as_of_s: float) -> None:
+        self._next = page.next_offset
+        if page.items or page.is_snapshot:
+            self._copy.take(page)
+        self._copy.confirm(as_of_s)
+
+    def _note_failure(self, failed: Exception) -> None:
+        self._failures += 1
+        if self.is_reached or self._failures == 1:
+            self._log.warning(
+                "store_lost", topic=self._topic.name, detail=str(failed)
+            )
+        self.is_reached = False
+
+    def _note_success(self) -> None:
+        if not self.is_reached:
+            self.is_reached = True
+            self.reached_s = self._reactor.seconds()
+            self._log.info(
+                "store_reached",
+                topic=self._topic.name,
+                failures=self._failures,
+                next_offset=self._next,
+            )
+        self._failures = 0
+
+    def _sleep(self, delay_s: float) -> "defer.Deferred[None]":
+        done: defer.Deferred[None] = defer.Deferred()
+        self._reactor.callLater(delay_s, done.callback, None)
+        return done
--- /dev/null
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -0,0 +1,469 @@
+"""One request on its way: attempts, deadline, and the answer back."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+from typing import Any
+
+from twisted.internet import defer
+from twisted.python import failure
+
+from godwitdale_gateway import dialect as dialect_lib
+from godwitdale_gateway import directory as directory_lib
+from godwitdale_gateway import events as events_lib
+from godwitdale_gateway import refusing
+from godwitdale_http import callers
+from godwitdale_http import channel as channel_lib
+from godwitdale_http import headers as headers_lib
+from godwitdale_http import pool as pool_lib
+from godwitdale_observe import logs
+from godwitdale_routing import attempts as attempts_lib
+from godwitdale_routing import choice
+from godwitdale_routing import retries
+from godwitdale_routing import routes
+from godwitdale_verdicts import outcomes
+from godwitdale_verdicts import verdict as verdict_lib
+
+# Time for a new connection: well under every objective, so that another
+# endpoint can be tried, and many round trips between zones.
+_CONNECT_S = 0.25
+# Connections that may fail to open before a request is refused.
+_MOST_UNREACHED = 3
+# Work that must not be lost to a closing connection uses only one on which an
+# exchange ended this short a time ago.
+_SAFE_IDLE_S = 0.5
+_ANY_IDLE_S = 3600.0
+# Largest answer that is kept until it is whole.
+_MOST_BUFFERED_BYTES = 8 << 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Job:
+    """A request that is allowed, and where it goes.
+
+    Attributes:
+        incoming: The request as it came.
+        ask: What its headers say.
+        route: Its route.
+        service: Name of the service that takes it.
+        account: Name of the client account, or None.
+        deadline_s: When the caller has to have an answer.
+    """
+
+    incoming: callers.Incoming
+    ask: dialect_lib.Ask
+    route: routes.Route
+    service: str
+    account: str | None
+    deadline_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tools:
+    """What all requests of a process share.
+
+    Attributes:
+        reactor: The Twisted reactor.
+        dialect: Reads and writes headers.
+        directory: The endpoints.
+        pool: Connections to them.
+        chooser: Picks one of several.
+        budgets: Retry budgets.
+        rng: Source of jitter.
+        zone: Availability zone of this process.
+        log: The log of decisions.
+    """
+
+    reactor: Any
+    dialect: dialect_lib.Dialect
+    directory: directory_lib.Directory
+    pool: pool_lib.Pool
+    chooser: choice.Chooser
+    budgets: retries.BudgetsByService
+    rng: random.Random
+    zone: str
+    log: logs.EventLog
+
+
+class Forwarding:
+    """Carries one request to its end. Takes the answers of endpoints."""
+
+    def __init__(
+        self,
+        job: Job,
+        answer: callers.CallerChannel,
+        tools: Tools,
+        ended: Callable[[], None],
+    ) -> None:
+        """Prepares; nothing is sent until ``start``.
+
+        Args:
+            job: The request.
+            answer: Where the answer goes.
+            tools: What all requests share.
+            ended: Called once at the end.
+        """
+        self._on_end = ended
+        self._job = job
+        self._answer = answer
+        self._tools = tools
+        self._tried: set[str] = set()
+        self._attempts = 0
+        self._unreached = 0
+        self._in_doubt = False
+        self._entry: directory_lib.Entry | None = None
+        self._connecting: defer.Deferred[Any] | None = None
+        self._channel: channel_lib.Channel | None = None
+        self._status = 0
+        self._headers: headers_lib.Headers = []
+        self._standing = dialect_lib.Standing.FOREIGN
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._splitter = events_lib.Splitter()
+        self._last_event_id = job.ask.last_event_id
+        self._has_head = False
+        self._is_over = False
+        self._timer: Any = None
+
+    def start(self) -> None:
+        """Hands the request to the first endpoint."""
+        self._tools.budgets.request(self._job.service)
+        left_s = max(0.0, self._left_s())
+        self._timer = self._tools.reactor.callLater(left_s, self._time_out)
+        self._next_attempt()
+
+    def abandon(self) -> None:
+        """Ends the work because the caller has gone."""
+        self._drop_attempt()
+        self._end()
+
+    # Attempts.
+
+    def _next_attempt(self) -> None:
+        now_s = self._tools.reactor.seconds()
+        candidates = self._tools.directory.candidates(
+            self._job.service, self._tried, now_s
+        )
+        if not candidates:
+            self._give_up(
+                outcomes.not_run(
+                    outcomes.Reason.NO_ENDPOINT,
+                    "no endpoint takes work",
+                    retry_after_s=refusing.NO_ENDPOINT_RETRY_S,
+                )
+            )
+            return
+        ask = choice.Ask(
+            prompt_tokens=self._job.ask.prompt_tokens, zone=self._tools.zone
+        )
+        tracked = self._tools.chooser.choose(
+            [each.tracked for each in candidates], ask, now_s
+        )
+        entry = self._tools.directory.get(tracked.name)
+        assert entry is not None
+        self._tried.add(tracked.name)
+        self._entry = entry
+        entry.tracked.sent += 1
+        self._connect(entry)
+
+    def _connect(self, entry: directory_lib.Entry) -> None:
+        is_safe = self._job.route.is_repeatable
+        idle_s = _ANY_IDLE_S if is_safe else _SAFE_IDLE_S
+        channel = self._tools.pool.take(entry.endpoint.id, idle_s)
+        if channel is not None:
+            self._send(channel)
+            return
+        opening = self._tools.pool.open(entry.endpoint.address, _CONNECT_S)
+        self._connecting = opening
+        opening.addCallbacks(self._connected, self._unreachable)
+
+    def _connected(self, channel: channel_lib.Channel) -> None:
+        self._connecting = None
+        if self._is_over or self._entry is None:
+            channel.close()
+            return
+        self._send(channel)
+
+    def _unreachable(self, reason: failure.Failure) -> None:
+        self._connecting = None
+        if self._is_over or self._entry is None:
+            return
+        self._unreached += 1
+        detail = f"no connection: {reason.getErrorMessage()}"
+        if self._unreached < _MOST_UNREACHED:
+            self._failed_attempt(detail)
+            self._next_attempt()
+            return
+        self._failed_attempt(detail)
+        self._give_up(
+            outcomes.not_run(
+                outcomes.Reason.ENDPOINT_LOST,
+                detail,
+                retry_after_s=refusing.NO_ENDPOINT_RETRY_S,
+            )
+        )
+
+    def _send(self, channel: channel_lib.Channel) -> None:
+        job = self._job
+        entry = self._entry
+        assert entry is not None
+        self._attempts += 1
+        self._channel = channel
+        self._body = []
+        self._body_bytes = 0
+        self._splitter = events_lib.Splitter()
+        sending = dialect_lib.Sending(
+            endpoint_id=entry.endpoint.id,
+            account=job.account,
+            time_left_s=max(0.0, self._left_s()),
+            last_event_id=self._last_event_id,
+        )
+        dialect = self._tools.dialect
+        request_id = job.ask.request_id
+        outgoing = channel_lib.Outgoing(
+            method=job.incoming.method,
+            target=job.incoming.target,
+            headers=dialect.outgoing(job.incoming.headers, sending),
+            body=job.incoming.body,
+            is_own_answer=lambda headers: dialect.is_answer_to(
+                request_id, headers
+            ),
+        )
+        channel.exchange(outgoing, self)
+
+    # The endpoint's answer.
+
+    def answer_head(self, status: int, headers: headers_lib.Headers) -> None:
+        """Takes status and headers."""
+        self._status = status
+        self._headers = headers
+        self._standing = self._tools.dialect.standing(status, headers)
+        if self._entry is not None and not self._is_refused():
+            self._entry.tracked.health.succeeded()
+
+    def answer_data(self, data: bytes) -> None:
+        """Takes a part of the body."""
+        if self._is_live_stream():
+            for event in self._splitter.feed(data):
+                self._pass_on(event)
+            return
+        self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > _MOST_BUFFERED_BYTES:
+            self._drop_attempt()
+            self._give_up(
+                outcomes.may_have_run(
+                    outcomes.Reason.ANSWER_LOST, "the answer is too large"
+                )
+            )
+
+    def answer_end(self) -> None:
+        """Takes the end of a complete answer."""
+        self._return_channel()
+        standing = self._standing
+        if standing is dialect_lib.Standing.SUCCESS:
+            self._finish_success()
+        elif standing is dialect_lib.Standing.FAILURE:
+            self._own_failure()
+        elif standing is dialect_lib.Standing.FOREIGN:
+            self.answer_broken("not an answer of the endpoint")
+        else:
+            self._not_run()
+
+    def answer_broken(self, detail: str) -> None:
+        """Takes the loss of the connection before the end."""
+        self._failed_attempt(detail)
+        if self._is_refused() and self._status:
+            self._retry_or_give_up(
+                outcomes.not_run(outcomes.Reason.OVERLOADED, detail)
+            )
+            return
+        self._retry_or_give_up(
+            outcomes.may_have_run(outcomes.Reason.ENDPOINT_LOST, detail)
+        )
+
+    def _is_refused(self) -> bool:
+        return self._standing in (
+            dialect_lib.Standing.NOT_RUN,
+            dialect_lib.Standing.MISDIRECTED,
+        )
+
+    def _is_live_stream(self) -> bool:
+        kind = headers_lib.first(self._headers, b"content-type") or b""
+        return (
+            self._job.route.kind is routes.Kind.STREAM
+            and self._standing is dialect_lib.Standing.SUCCESS
+            and kind.startswith(b"text/event-stream")
+        )
+
+    def _pass_on(self, event: events_lib.Event) -> None:
+        """Writes an event, unless the caller has it already."""
+        last = self._last_event_id
+        if event.id is not None and last is not None and event.id <= last:
+            return
+        if not self._has_head:
+            self._has_head = True
+            self._answer.head(self._status, self._answer_headers())
+        self._answer.data(event.data)
+        if event.id is not None:
+            self._last_event_id = event.id
+
+    def _finish_success(self) -> None:
+        if not self._is_live_stream():
+            self._answer_whole()
+            return
+        if self._splitter.has_rest:
+            self.answer_broken("the stream ended inside an event")
+            return
+        if not self._has_head:
+            self._answer_whole()
+            return
+        self._answer.end()
+        self._end()
+
+    def _answer_whole(self) -> None:
+        self._answer.whole(
+            self._status, self._answer_headers(), b"".join(self._body)
+        )
+        self._end()
+
+    def _answer_headers(self) -> headers_lib.Headers:
+        return headers_lib.end_to_end(self._headers)
+
+    def _own_failure(self) -> None:
+        """Repeats what failed at the endpoint, or passes the failure on."""
+        refusal = outcomes.may_have_run(
+            outcomes.Reason.ENDPOINT_FAILED, f"answered {self._status}"
+        )
+        step = self._next_step(refusal)
+        self._leave_endpoint()
+        if isinstance(step, attempts_lib.TryAgain):
+            self._in_doubt = True
+            self._next_attempt()
+        elif self._has_head:
+            self._give_up(step.refusal)
+        else:
+            self._answer_whole()
+
+    def _not_run(self) -> None:
+        if self._standing is dialect_lib.Standing.MISDIRECTED:
+            entry = self._entry
+            if entry is not None:
+                self._tools.directory.remove(entry.endpoint.id)
+        detail = f"the endpoint refused: {self._status}"
+        self._retry_or_give_up(
+            outcomes.not_run(
+                outcomes.Reason.OVERLOADED,
+                detail,
+                retry_after_s=refusing.OVERLOADED_RETRY_S,
+            )
+        )
+
+    # What follows a failed attempt.
+
+    def _next_step(self, refusal: outcomes.Refusal) -> attempts_lib.NextStep:
+        budget = self._tools.budgets.of(self._job.service)
+        return attempts_lib.after_failure(refusal, self._situation(), budget)
+
+    def _retry_or_give_up(self, refusal: outcomes.Refusal) -> None:
+        self._leave_endpoint()
+        step = self._next_step(refusal)
+        if refusal.verdict is not verdict_lib.Verdict.NOT_RUN:
+            self._in_doubt = True
+        if isinstance(step, attempts_lib.TryAgain):
+            self._next_attempt()
+        else:
+            self._give_up(step.refusal)
+
+    def _situation(self) -> attempts_lib.Situation:
+        route = self._job.route
+        return attempts_lib.Situation(
+            repeatable=route.is_repeatable,
+            keyed=attempts_lib.Keyed.NO,
+            answer_begun=self._has_head and not route.is_resumable,
+            in_doubt=self._in_doubt,
+            attempts=self._attempts,
+            most_attempts=route.most_attempts,
+            time_left_s=self._left_s(),
+        )
+
+    def _time_out(self) -> None:
+        is_sent = self._channel is not None or self._in_doubt
+        self._drop_attempt()
+        make = outcomes.may_have_run if is_sent else outcomes.not_run
+        self._give_up(make(outcomes.Reason.DEADLINE, "no answer in time"))
+
+    def _give_up(self, refusal: outcomes.Refusal) -> None:
+        refusal = attempts_lib.keep_doubt(refusal, self._in_doubt)
+        self._tools.log.info(
+            "refused",
+            request=self._job.ask.request_id.decode("latin-1"),
+            reason=refusal.reason.value,
+            verdict=refusal.verdict.value,
+            detail=refusal.detail,
+            attempts=self._attempts,
+            left_s=round(self._left_s(), 3),
+        )
+        if self._has_head:
+            self._answer.cut()
+        else:
+            refusing.refuse(
+                self._answer,
+                refusal,
+                self._tools.dialect.refusal(self._job.ask.request_id),
+            )
+        self._end()
+
+    def _failed_attempt(self, detail: str) -> None:
+        entry = self._entry
+        if entry is None:
+            return
+        entry.tracked.health.failed(self._tools.reactor.seconds())
+        self._tools.log.info(
+            "attempt_failed",
+            request=self._job.ask.request_id.decode("latin-1"),
+            endpoint=entry.endpoint.id,
+            detail=detail,
+        )
+        self._leave_endpoint()
+
+    def _leave_endpoint(self) -> None:
+        entry = self._entry
+        self._entry = None
+        self._channel = None
+        if entry is not None:
+            entry.tracked.sent -= 1
+
+    def _return_channel(self) -> None:
+        channel = self._channel
+        entry = self._entry
+        if channel is None or entry is None:
+            return
+        if self._tools.directory.get(entry.endpoint.id) is entry:
+            self._tools.pool.give_back(entry.endpoint.id, channel)
+        else:
+            channel.close()
+
+    def _drop_attempt(self) -> None:
+        """Stops the attempt in progress, and so the endpoint's work."""
+        connecting = self._connecting
+        self._connecting = None
+        channel = self._channel
+        self._leave_endpoint()
+        if connecting is not None:
+            connecting.addErrback(lambda _: None)
+            connecting.cancel()
+        if channel is not None:
+            channel.abort()
+
+    def _end(self) -> None:
+        if self._is_over:
+            return
+        self._is_over = True
+        self._on_end()
+        self._leave_endpoint()
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def _left_s(self) -> float:
+        return self._job.deadline_s - self._tools.reactor.seconds()
--- /dev/null
+++ b/libs/gateway/src/godwitdale_gateway/knowledge.py
@@ -0,0 +1,163 @@
+"""What an entry knows of configuration and endpoints, from the store."""
+
+from collections.abc import Callable
+from typing import Any
+
+from godwitdale_gateway import directory as directory_lib
+from godwitdale_gateway import following
+from godwitdale_observe import logs
+from godwitdale_routing import freshness as freshness_lib
+from godwitdale_routing import routes
+
+# An endpoint that disappears this short a time after the store came back may
+# only have lapsed meanwhile.
+_SHAKEN_S = 3.0
+# Longest wait for a change of the list of endpoints: silence is shown by the
+# keep-alive probes of the connection, so a poll may take long.
+_ENDPOINT_POLL_S = 10.0
+
+DecodeConfiguration = Callable[[bytes], routes.Configuration | None]
+DecodeEndpoint = Callable[[str, bytes], directory_lib.Endpoint | None]
+
+
+class ConfigurationCopy:
+    """The configuration in force here; it never goes back.
+
+    Attributes:
+        current: The newest configuration that was seen, or None.
+        freshness: Until when it was certainly the newest.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        decode: DecodeConfiguration,
+        freshness: freshness_lib.Freshness,
+        clock: Any,
+        log: logs.EventLog,
+    ) -> None:
+        """Starts without any.
+
+        Args:
+            key: Key of the record that holds it.
+            decode: Returns a configuration, or None for what is none.
+            freshness: Decides how long it may be trusted.
+            clock: A Twisted ``IReactorTime``.
+            log: The log of decisions.
+        """
+        self.current: routes.Configuration | None = None
+        self.freshness = freshness
+        self._key = key
+        self._decode = decode
+        self._clock = clock
+        self._log = log
+
+    def take(self, page: following.Page) -> None:
+        """Takes records; only the last configuration counts."""
+        values = [
+            item.value
+            for item in page.items
+            if item.key == self._key and item.value is not None
+        ]
+        for value in reversed(values):
+            configuration = self._decode(value)
+            if configuration is None:
+                self._log.warning("configuration_unreadable", size=len(value))
+                continue
+            self._put(configuration)
+            return
+
+    def confirm(self, as_of_s: float) -> None:
+        """Is told that it was the newest at a moment."""
+        if self.current is not None:
+            self.freshness.confirm(as_of_s)
+
+    def poll_s(self) -> float:
+        """Returns how long the next read may wait."""
+        return self.freshness.poll_s(self._clock.seconds())
+
+    def _put(self, configuration: routes.Configuration) -> None:
+        known = self.current
+        if known is not None and configuration.version <= known.version:
+            return
+        self.current = configuration
+        self._log.info("configuration_in_force", version=configuration.version)
+
+
+class EndpointsCopy:
+    """Feeds the directory from the records of endpoints."""
+
+    def __init__(
+        self,
+        directory: directory_lib.Directory,
+        decode: DecodeEndpoint,
+        clock: Any,
+        log: logs.EventLog,
+    ) -> None:
+        """Starts without any endpoint.
+
+        Args:
+            directory: Is kept up to date.
+            decode: Returns an endpoint, or None for what names none to use.
+            clock: A Twisted ``IReactorTime``.
+            log: The log of decisions.
+        """
+        self.is_complete = False
+        self.follower: following.Follower | None = None
+        self._directory = directory
+        self._decode = decode
+        self._clock = clock
+        self._log = log
+
+    def take(self, page: following.Page) -> None:
+        """Takes records of endpoints."""
+        if page.is_snapshot:
+            listed = {item.key for item in page.items}
+            for endpoint_id in self._directory.ids() - listed:
+                self._drop(endpoint_id)
+            self.is_complete = True
+        for item in page.items:
+            self._take_item(item)
+
+    def confirm(self, as_of_s: float) -> None:
+        """Is told that the list was complete at a moment."""
+        self._directory.expire(self._clock.seconds())
+
+    def poll_s(self) -> float:
+        """Returns how long the next read may wait."""
+        return _ENDPOINT_POLL_S
+
+    def _take_item(self, item: following.Item) -> None:
+        if item.value is None:
+            self._drop(item.key)
+            return
+        endpoint = self._decode(item.key, item.value)
+        if endpoint is None:
+            self._log.info("endpoint_unusable", endpoint=item.key)
+            self._directory.remove(item.key)
+            return
+        known = self._directory.get(endpoint.id)
+        if known is None or known.endpoint.is_draining != endpoint.is_draining:
+            self._log.info(
+                "endpoint_listed",
+                endpoint=endpoint.id,
+                service=endpoint.service,
+                draining=endpoint.is_draining,
+            )
+        self._directory.put(endpoint, self._clock.seconds())
+
+    def _drop(self, endpoint_id: str) -> None:
+        now_s = self._clock.seconds()
+        follower = self.follower
+        is_shaken = follower is not None and (
+            not follower.is_reached or now_s - follower.reached_s < _SHAKEN_S
+        )
+        if self._directory.get(endpoint_id) is None:
+            return
+        self._log.info(
+            "endpoint_gone", endpoint=endpoint_id, may_be_back=is_shaken
+        )
+        if is_shaken:
+            self._directory.lapse(endpoint_id, now_s)
+        else:
+            self._directory.remove(endpoint_id)
--- a/libs/godwitdale/src/godwitdale/daemon.py
+++ b/libs/godwitdale/src/godwitdale/daemon.py
@@ -8,7 +8,6 @@
 
 from godwitdale import admin
 from godwitdale import feed as feed_lib
-from godwitdale import lifecycle
 from godwitdale import membership as membership_lib
 from godwitdale import settings as settings_lib
 from godwitdale import tls
@@ -16,6 +15,7 @@
 from godwitdale_observe import metrics as metrics_lib
 from godwitdale_platform import instances as instances_lib
 from godwitdale_platform import log as log_lib
+from godwitdale_process import lifecycle
 from godwitdale_verdicts import identifiers
 
 
--- /dev/null
+++ b/libs/http/src/godwitdale_http/callers.py
@@ -0,0 +1,405 @@
+"""Connections of callers: requests in, answers out."""
+
+import dataclasses
+from typing import Any
+from typing import Protocol
+
+import h11
+from twisted.internet import protocol
+from twisted.python import failure
+
+from godwitdale_http import headers as headers_lib
+
+# Time in which the rest of a refused request is read and dropped; closing
+# with unread bytes would reset the connection under the answer.
+_LINGER_S = 1.0
+# Bytes of an answer kept for a caller that does not read.
+_MOST_BACKLOG_BYTES = 1 << 20
+# Bytes that a caller may send ahead of its turn.
+_MOST_AHEAD_BYTES = 1 << 17
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """What a caller may send, and how long it may take.
+
+    Attributes:
+        head_bytes: Largest request line with headers.
+        body_bytes: Largest body.
+        head_timeout_s: Time for a whole head.
+        idle_timeout_s: Time without a request, or between parts of a body.
+    """
+
+    head_bytes: int
+    body_bytes: int
+    head_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Incoming:
+    """A whole request of a caller.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query as they came.
+        headers: Names in lower case, and values.
+        body: The body.
+        received_s: When its head was complete.
+    """
+
+    method: bytes
+    target: bytes
+    headers: headers_lib.Headers
+    body: bytes
+    received_s: float
+
+
+class Work(Protocol):
+    """What becomes of a request."""
+
+    def abandon(self) -> None:
+        """The caller has gone."""
+
+
+class Handler(Protocol):
+    """Serves the requests of all callers."""
+
+    def bounds(self) -> Bounds:
+        """Returns the bounds in force."""
+
+    def is_draining(self) -> bool:
+        """Tells whether connections are closed after their next answer."""
+
+    def handle(self, incoming: Incoming, answer: "CallerChannel") -> Work:
+        """Begins to serve a request."""
+
+    def opened(self, channel: "CallerChannel") -> None:
+        """A caller has connected."""
+
+    def closed(self, channel: "CallerChannel") -> None:
+        """A connection is gone."""
+
+
+class CallerChannel(protocol.Protocol):
+    """One connection of a caller; one request is served at a time.
+
+    Attributes:
+        is_idle: Whether no request is in work or on its way in.
+        has_begun: Whether a part of the present answer has been written.
+    """
+
+    transport: Any
+
+    def __init__(self, handler: Handler, clock: Any) -> None:
+        """Prepares a connection.
+
+        Args:
+            handler: Serves the requests.
+            clock: A Twisted ``IReactorTime``.
+        """
+        self.has_begun = False
+        self._handler = handler
+        self._clock = clock
+        self._bounds = handler.bounds()
+        self._http = h11.Connection(
+            our_role=h11.SERVER,
+            max_incomplete_event_size=self._bounds.head_bytes,
+        )
+        self._request: h11.Request | None = None
+        self._received_s = 0.0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._work: Work | None = None
+        self._timer: Any = None
+        self._is_over = False
+        self._has_bytes = False
+        self._backlog_bytes: int | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is in work or on its way in."""
+        return (
+            self._work is None and self._request is None and not self._has_bytes
+        )
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Waits for the first request."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self._handler.opened(self)
+        self._arm(self._bounds.idle_timeout_s)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Takes bytes from the caller."""
+        if self._is_over:
+            return
+        if self._work is not None:
+            self._take_ahead(data)
+            return
+        if self._request is None and not self._has_bytes:
+            self._has_bytes = True
+            self._arm(self._bounds.head_timeout_s)
+        elif self._request is not None:
+            self._arm(self._bounds.idle_timeout_s)
+        self._http.receive_data(data)
+        self._pump()
+
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Gives up what is in work."""
+        self._is_over = True
+        self._disarm()
+        self._handler.closed(self)
+        work = self._work
+        self._work = None
+        if work is not None:
+            work.abandon()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Is told that the caller reads more slowly than is written."""
+        self._backlog_bytes = 0
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Is told that the caller has caught up."""
+        self._backlog_bytes = None
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Is told that the connection is closing."""
+
+    def head(self, status: int, headers: headers_lib.Headers) -> None:
+        """Begins an answer whose body follows in parts.
+
+        Args:
+            status: HTTP status.
+            headers: Headers without framing.
+        """
+        if self._is_over:
+            return
+        self.has_begun = True
+        self._send(h11.Response(status_code=status, headers=self._own(headers)))
+
+    def data(self, data: bytes) -> None:
+        """Writes a part of the body."""
+        if self._is_over:
+            return
+        self._send(h11.Data(data=data))
+        if self._backlog_bytes is None:
+            return
+        self._backlog_bytes += len(data)
+        if self._backlog_bytes > _MOST_BACKLOG_BYTES:
+            self._cut_and_abandon()
+
+    def end(self) -> None:
+        """Ends a whole answer."""
+        if self._is_over:
+            return
+        self._send(h11.EndOfMessage())
+        self._finish()
+
+    def whole(
+        self, status: int, headers: headers_lib.Headers, body: bytes
+    ) -> None:
+        """Writes a whole answer at once.
+
+        Args:
+            status: HTTP status.
+            headers: Headers without framing.
+            body: The body.
+        """
+        if self._is_over:
+            return
+        self.has_begun = True
+        framed = [*self._own(headers), (b"content-length", b"%d" % len(body))]
+        parts = [
+            self._http.send(h11.Response(status_code=status, headers=framed)),
+            self._http.send(h11.Data(data=body)) if body else b"",
+            self._http.send(h11.EndOfMessage()),
+        ]
+        self.transport.write(b"".join(part for part in parts if part))
+        self._finish()
+
+    def cut(self) -> None:
+        """Breaks the connection, so that the answer does not look whole."""
+        self._work = None
+        if not self._is_over:
+            self._is_over = True
+            self.transport.abortConnection()
+
+    def close_idle(self) -> None:
+        """Closes the connection if no request is in work or coming in."""
+        if self.is_idle and not self._is_over:
+            self._close()
+
+    def _own(self, headers: headers_lib.Headers) -> headers_lib.Headers:
+        if self._handler.is_draining():
+            return [*headers, (b"connection", b"close")]
+        return headers
+
+    def _send(self, event: Any) -> None:
+        data = self._http.send(event)
+        if data:
+            self.transport.write(data)
+
+    def _take_ahead(self, data: bytes) -> None:
+        """Keeps what a caller sends before its last request is answered."""
+        self._http.receive_data(data)
+        rest, _ = self._http.trailing_data
+        if len(rest) > _MOST_AHEAD_BYTES:
+            self._cut_and_abandon()
+
+    def _cut_and_abandon(self) -> None:
+        work = self._work
+        self.cut()
+        if work is not None:
+            work.abandon()
+
+    def _pump(self) -> None:
+        while self._work is None and not self._is_over:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as fault:
+                self._reject(fault.error_status_hint or 400, str(fault))
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                self._continue_if_asked()
+                return
+            self._take(event)
+
+    def _continue_if_asked(self) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            self._send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _take(self, event: Any) -> None:
+        if isinstance(event, h11.Request):
+            self._take_head(event)
+        elif isinstance(event, h11.Data):
+            self._body.append(bytes(event.data))
+            self._body_bytes += len(event.data)
+            if self._body_bytes > self._bounds.body_bytes:
+                self._reject(413, "the body is too large")
+        elif isinstance(event, h11.EndOfMessage):
+            self._begin()
+        elif isinstance(event, h11.ConnectionClosed):
+            self._close()
+
+    def _take_head(self, request: h11.Request) -> None:
+        self._bounds = self._handler.bounds()
+        self._received_s = self._clock.seconds()
+        self._request = request
+        names = [name for name, _ in request.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            self._reject(400, "a body has either a length or chunks")
+            return
+        if not request.target.startswith(b"/"):
+            self._reject(400, "the target has to be a path")
+            return
+        length = headers_lib.first(request.headers, b"content-length")
+        if length is not None and int(length) > self._bounds.body_bytes:
+            self._reject(413, "the body is too large")
+            return
+        self._arm(self._bounds.idle_timeout_s)
+
+    def _begin(self) -> None:
+        self._disarm()
+        request = self._request
+        assert request is not None
+        incoming = Incoming(
+            request.method,
+            request.target,
+            list(request.headers),
+            b"".join(self._body),
+            self._received_s,
+        )
+        self._body = []
+        self._body_bytes = 0
+        self._has_bytes = False
+        self.has_begun = False
+        self._work = _NOTHING
+        work = self._handler.handle(incoming, self)
+        if self._work is _NOTHING:
+            self._work = work
+
+    def _finish(self) -> None:
+        """Ends the present cycle, and begins the next one."""
+        self._work = None
+        self._request = None
+        state = self._http.our_state
+        if state is h11.MUST_CLOSE or state is h11.ERROR:
+            self._close()
+            return
+        self._http.start_next_cycle()
+        self._arm(self._bounds.idle_timeout_s)
+        rest, _ = self._http.trailing_data
+        if rest:
+            self._clock.callLater(0, self._pump)
+
+    def _reject(self, status: int, reason: str) -> None:
+        """Answers what is no proper request, and closes."""
+        body = reason.encode()
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [
+                (b"content-type", b"text/plain"),
+                (b"content-length", b"%d" % len(body)),
+                (b"connection", b"close"),
+            ]
+            self._send(h11.Response(status_code=status, headers=headers))
+            self._send(h11.Data(data=body))
+            self._send(h11.EndOfMessage())
+        self._close()
+
+    def _close(self) -> None:
+        self._is_over = True
+        self._disarm()
+        # Twisted never closes a connection whose producer is paused.
+        self.transport.unregisterProducer()
+        self.transport.loseWriteConnection()
+        self._timer = self._clock.callLater(
+            _LINGER_S, self.transport.loseConnection
+        )
+
+    def _arm(self, delay_s: float) -> None:
+        self._disarm()
+        self._timer = self._clock.callLater(delay_s, self._time_out)
+
+    def _disarm(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _time_out(self) -> None:
+        if self._has_bytes or self._request is not None:
+            self._reject(408, "the request did not come in time")
+        else:
+            self._close()
+
+
+class _Nothing:
+    """Stands for work whose handler has not returned yet."""
+
+    def abandon(self) -> None:
+        """Has nothing to give up."""
+
+
+_NOTHING = _Nothing()
+
+
+class CallerFactory(protocol.Factory):
+    """Makes the connections of callers."""
+
+    noisy = False
+
+    def __init__(self, handler: Handler, clock: Any) -> None:
+        """Prepares to listen.
+
+        Args:
+            handler: Serves the requests.
+            clock: A Twisted ``IReactorTime``.
+        """
+        self._handler = handler
+        self._clock = clock
+
+    def buildProtocol(self, addr: Any) -> CallerChannel:  # noqa: N802
+        """Returns the protocol of a new connection."""
+        return CallerChannel(self._handler, self._clock)
--- a/libs/observe/src/godwitdale_observe/logs.py
+++ b/libs/observe/src/godwitdale_observe/logs.py
@@ -1,22 +1,26 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line."""
 
 import logging
 import sys
 from typing import Any
+from typing import TextIO
 
 from pythonjsonlogger import json as json_logger
 
 _LOGGER = "godwitdale"
 
 
-def configure(instance: str, level: str = "INFO") -> None:
-    """Sends the project's logs to standard error.
+def configure(
+    instance: str, level: str = "INFO", stream: TextIO | None = None
+) -> None:
+    """Sends the project's logs to a stream.
 
     Args:
         instance: Name of the instance, which goes into every line.
         level: The lowest level that is written.
+        stream: Where they go; standard error by default.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(
         json_logger.JsonFormatter(
             "%(asctime)s %(levelname)s %(message)s",
--- a/libs/godwitdale/src/godwitdale/lifecycle.py
+++ b/libs/process/src/godwitdale_process/lifecycle.py
@@ -45,8 +45,14 @@
     """Actions of the life cycle."""
 
     def __init__(
-        self, service: Service, clock: Any, limit_s: float, stop: Any
+        self,
+        service: Service,
+        clock: Any,
+        limit_s: float,
+        stop: Any,
+        least_drain_s: float,
     ) -> None:
+        self.least_drain_s = least_drain_s
         self.service = service
         self.clock = clock
         self.limit_s = limit_s
@@ -61,7 +67,7 @@
         self.drain_started_s = self.clock.seconds()
         self.events.info("draining", in_flight=self.service.in_flight())
         self.service.drain()
-        self.clock.callLater(_LEAST_DRAIN_S, self.check)
+        self.clock.callLater(self.least_drain_s, self.check)
 
     def check(self) -> None:
         if self.state != "draining":
@@ -145,6 +151,7 @@
         clock: Any,
         limit_s: float,
         stop_reactor: Callable[[], None],
+        least_drain_s: float = _LEAST_DRAIN_S,
     ) -> None:
         """Starts in the state ``starting``.
 
@@ -153,8 +160,10 @@
             clock: A Twisted ``IReactorTime``.
             limit_s: Time that requests in flight get at a stop.
             stop_reactor: Ends the process.
+            least_drain_s: Time that a drain takes at least, so that whoever
+                sends new work can notice.
         """
-        self._core = _Core(service, clock, limit_s, stop_reactor)
+        self._core = _Core(service, clock, limit_s, stop_reactor, least_drain_s)
         self._machine: Inputs = _Machine(self._core)
 
     @property
--- a/libs/routing/src/godwitdale_routing/choice.py
+++ b/libs/routing/src/godwitdale_routing/choice.py
@@ -200,3 +200,35 @@
                 each.report.running + each.report.queued + each.sent
             ),
         )
+
+
+class LeastLoaded:
+    """The endpoint with the smallest share of its slots taken.
+
+    Ties are drawn, so that entries that know the same do not all run to the
+    same endpoint; the own availability zone goes first among equals.
+    """
+
+    __slots__ = ("_rng",)
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(
+        self, candidates: Sequence[Tracked], ask: Ask, now_s: float
+    ) -> Tracked:
+        """Returns the least loaded candidate."""
+        return min(
+            candidates,
+            key=lambda each: (
+                _taken_share(each),
+                each.zone != ask.zone,
+                self._rng.random(),
+            ),
+        )
+
+
+def _taken_share(each: Tracked) -> float:
+    report = each.report
+    taken = report.running + report.queued + each.sent
+    return taken / max(1, report.slots)
--- a/libs/routing/src/godwitdale_routing/retries.py
+++ b/libs/routing/src/godwitdale_routing/retries.py
@@ -53,3 +53,32 @@
     """
     bound_s = min(most_s, base_s * _BACKOFF_FACTOR ** (attempt - 1))
     return rng.uniform(0, bound_s)
+
+
+class BudgetsByService:
+    """One retry budget for each service that requests go to."""
+
+    __slots__ = ("_share", "_most", "_budgets")
+
+    def __init__(self, share: float, most: float) -> None:
+        """Starts without any service.
+
+        Args:
+            share: Retries earned by each request.
+            most: Retries that each service may save up.
+        """
+        self._share = share
+        self._most = most
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def of(self, service: str) -> RetryBudget:
+        """Returns the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self._share, self._most)
+            self._budgets[service] = budget
+        return budget
+
+    def request(self, service: str) -> None:
+        """Notes one request of a caller."""
+        self.of(service).request()
--- a/tests/unit/test_observe.py
+++ b/tests/unit/test_observe.py
@@ -2,9 +2,9 @@
 
 from twisted.internet import task
 
-from godwitdale import lifecycle
 from godwitdale import tables
 from godwitdale_observe import histograms
+from godwitdale_process import lifecycle
 
 
 def test_histograms_are_bounded_at_many_accounts():
