Place requests by the load that all entries tell each other

Entries chose by their own counts only.

Change: entries tell each other over UDP what they have in work and what waits (routing.sharing, gateway.peers); a request starts where a place is free, waits while it can be on time, and is refused at once without hope (routing.waiting, gateway.placing).

--- a/libs/gateway/src/godwitdale_gateway/directory.py
+++ b/libs/gateway/src/godwitdale_gateway/directory.py
@@ -77,6 +77,18 @@
         """Returns an entry, or None."""
         return self._entries.get(endpoint_id)
 
+    def entries(self) -> list[Entry]:
+        """Returns all endpoints."""
+        return list(self._entries.values())
+
+    def of_service(self, service: str) -> list[Entry]:
+        """Returns the endpoints of a service that take new work."""
+        return [
+            entry
+            for entry in self._by_service.get(service, {}).values()
+            if not entry.endpoint.is_draining
+        ]
+
     def put(self, endpoint: Endpoint, now_s: float) -> None:
         """Adds an endpoint, or takes over what has changed."""
         known = self._entries.get(endpoint.id)
@@ -138,11 +150,7 @@
             tried: Endpoints that the request has been sent to.
             now_s: The present time.
         """
-        known = [
-            entry
-            for entry in self._by_service.get(service, {}).values()
-            if not entry.endpoint.is_draining
-        ]
+        known = self.of_service(service)
         listed = [entry for entry in known if entry.lapsed_until_s is None]
         usable = health.usable(
             {each.endpoint.id: each.tracked.health for each in listed or known},
--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import dataclasses
-import random
 from typing import Any
 
 from twisted.internet import defer
@@ -11,6 +10,7 @@
 from godwitdale_gateway import dialect as dialect_lib
 from godwitdale_gateway import directory as directory_lib
 from godwitdale_gateway import events as events_lib
+from godwitdale_gateway import placing
 from godwitdale_gateway import refusing
 from godwitdale_http import callers
 from godwitdale_http import channel as channel_lib
@@ -21,6 +21,7 @@
 from godwitdale_routing import choice
 from godwitdale_routing import retries
 from godwitdale_routing import routes
+from godwitdale_routing import waiting
 from godwitdale_verdicts import outcomes
 from godwitdale_verdicts import verdict as verdict_lib
 
@@ -44,6 +45,7 @@
     Attributes:
         incoming: The request as it came.
         ask: What its headers say.
+        ticket: How long it may wait for an endpoint.
         route: Its route.
         service: Name of the service that takes it.
         account: Name of the client account, or None.
@@ -52,6 +54,7 @@
 
     incoming: callers.Incoming
     ask: dialect_lib.Ask
+    ticket: waiting.Ticket
     route: routes.Route
     service: str
     account: str | None
@@ -67,9 +70,8 @@
         dialect: Reads and writes headers.
         directory: The endpoints.
         pool: Connections to them.
-        chooser: Picks one of several.
+        placer: Gives requests a place at an endpoint.
         budgets: Retry budgets.
-        rng: Source of jitter.
         zone: Availability zone of this process.
         log: The log of decisions.
     """
@@ -78,15 +80,19 @@
     dialect: dialect_lib.Dialect
     directory: directory_lib.Directory
     pool: pool_lib.Pool
-    chooser: choice.Chooser
+    placer: placing.Placer
     budgets: retries.BudgetsByService
-    rng: random.Random
     zone: str
     log: logs.EventLog
 
 
 class Forwarding:
-    """Carries one request to its end. Takes the answers of endpoints."""
+    """Carries one request to its end. Takes the answers of endpoints.
+
+    Attributes:
+        want: What the request asks of the placer.
+        tried: Ids of the endpoints that it has been sent to.
+    """
 
     def __init__(
         self,
@@ -107,7 +113,14 @@
         self._job = job
         self._answer = answer
         self._tools = tools
-        self._tried: set[str] = set()
+        self.want = placing.Want(
+            job.service,
+            job.ticket,
+            choice.Ask(prompt_tokens=job.ask.prompt_tokens, zone=tools.zone),
+        )
+        self.tried: set[str] = set()
+        self._is_waiting = False
+        self._sent_s = 0.0
         self._attempts = 0
         self._unreached = 0
         self._in_doubt = False
@@ -122,6 +135,7 @@
         self._splitter = events_lib.Splitter()
         self._last_event_id = job.ask.last_event_id
         self._has_head = False
+        self._has_part = False
         self._is_over = False
         self._timer: Any = None
 
@@ -139,33 +153,22 @@
 
     # Attempts.
 
-    def _next_attempt(self) -> None:
-        now_s = self._tools.reactor.seconds()
-        candidates = self._tools.directory.candidates(
-            self._job.service, self._tried, now_s
-        )
-        if not candidates:
-            self._give_up(
-                outcomes.not_run(
-                    outcomes.Reason.NO_ENDPOINT,
-                    "no endpoint takes work",
-                    retry_after_s=refusing.NO_ENDPOINT_RETRY_S,
-                )
-            )
-            return
-        ask = choice.Ask(
-            prompt_tokens=self._job.ask.prompt_tokens, zone=self._tools.zone
-        )
-        tracked = self._tools.chooser.choose(
-            [each.tracked for each in candidates], ask, now_s
-        )
-        entry = self._tools.directory.get(tracked.name)
-        assert entry is not None
-        self._tried.add(tracked.name)
+    def placed(self, entry: directory_lib.Entry) -> None:
+        """Gets a place at an endpoint."""
+        self._is_waiting = False
+        self.tried.add(entry.endpoint.id)
         self._entry = entry
-        entry.tracked.sent += 1
         self._connect(entry)
 
+    def refused(self, refusal: outcomes.Refusal) -> None:
+        """Gets no place."""
+        self._is_waiting = False
+        self._give_up(refusal)
+
+    def _next_attempt(self) -> None:
+        self._is_waiting = True
+        self._tools.placer.submit(self)
+
     def _connect(self, entry: directory_lib.Entry) -> None:
         is_safe = self._job.route.is_repeatable
         idle_s = _ANY_IDLE_S if is_safe else _SAFE_IDLE_S
@@ -199,7 +202,7 @@
             outcomes.not_run(
                 outcomes.Reason.ENDPOINT_LOST,
                 detail,
-                retry_after_s=refusing.NO_ENDPOINT_RETRY_S,
+                retry_after_s=refusing.UNREACHED_RETRY_S,
             )
         )
 
@@ -208,7 +211,9 @@
         entry = self._entry
         assert entry is not None
         self._attempts += 1
+        self._sent_s = self._tools.reactor.seconds()
         self._channel = channel
+        self._has_part = False
         self._body = []
         self._body_bytes = 0
         self._splitter = events_lib.Splitter()
@@ -301,6 +306,7 @@
         last = self._last_event_id
         if event.id is not None and last is not None and event.id <= last:
             return
+        self._note_beginning()
         if not self._has_head:
             self._has_head = True
             self._answer.head(self._status, self._answer_headers())
@@ -308,8 +314,22 @@
         if event.id is not None:
             self._last_event_id = event.id
 
+    def _note_beginning(self) -> None:
+        """Takes the first part of an attempt's answer into account."""
+        if self._has_part:
+            return
+        self._has_part = True
+        took_s = self._tools.reactor.seconds() - self._sent_s
+        self._tools.placer.pace(self._job.service).began(took_s)
+
+    def _note_end(self) -> None:
+        took_s = self._tools.reactor.seconds() - self._sent_s
+        self._tools.placer.pace(self._job.service).ended(took_s)
+
     def _finish_success(self) -> None:
         if not self._is_live_stream():
+            self._note_beginning()
+            self._note_end()
             self._answer_whole()
             return
         if self._splitter.has_rest:
@@ -319,6 +339,7 @@
             self._answer_whole()
             return
         self._answer.end()
+        self._note_end()
         self._end()
 
     def _answer_whole(self) -> None:
@@ -432,7 +453,7 @@
         self._entry = None
         self._channel = None
         if entry is not None:
-            entry.tracked.sent -= 1
+            self._tools.placer.release(entry)
 
     def _return_channel(self) -> None:
         channel = self._channel
@@ -446,6 +467,9 @@
 
     def _drop_attempt(self) -> None:
         """Stops the attempt in progress, and so the endpoint's work."""
+        if self._is_waiting:
+            self._is_waiting = False
+            self._tools.placer.withdraw(self)
         connecting = self._connecting
         self._connecting = None
         channel = self._channel
--- a/libs/gateway/src/godwitdale_gateway/gateway.py
+++ b/libs/gateway/src/godwitdale_gateway/gateway.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 from typing import Any
+from typing import Protocol
 
 from twisted.internet import defer
 from twisted.internet import task
@@ -12,15 +13,22 @@
 from godwitdale_gateway import following
 from godwitdale_gateway import forwarding
 from godwitdale_gateway import knowledge
+from godwitdale_gateway import peers as peers_lib
+from godwitdale_gateway import placing
 from godwitdale_gateway import refusing
 from godwitdale_http import callers
 from godwitdale_http import pool as pool_lib
 from godwitdale_observe import logs
 from godwitdale_process import lifecycle
+from godwitdale_routing import ages
 from godwitdale_routing import choice
 from godwitdale_routing import freshness as freshness_lib
 from godwitdale_routing import retries
 from godwitdale_routing import routes
+from godwitdale_routing import sharing
+from godwitdale_routing import waiting
+from godwitdale_verdicts import exceptions
+from godwitdale_verdicts import identifiers
 from godwitdale_verdicts import outcomes
 
 _TICK_S = 0.5
@@ -32,6 +40,10 @@
 _DRAIN_STREAMS_S = 2.5
 # Kept of the time for a stop to close connections and exit.
 _STOP_RESERVE_S = 0.6
+# Bounds of the pause after a failed announcement; nothing but the quality of
+# choices depends on it.
+_MEET_BASE_S = 0.5
+_MEET_MOST_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +55,7 @@
         zone: Its availability zone.
         frontend: Where callers connect.
         readiness: Where the platform asks for readiness.
+        peers: Where other entries reach this one, over UDP.
         stop_s: Time from the request to stop until the process is killed.
         key_bound_s: Oldest configuration by which a key may be accepted.
         apply_s: Time within which a change has to be in force.
@@ -54,6 +67,7 @@
     zone: str
     frontend: pool_lib.Address
     readiness: pool_lib.Address
+    peers: pool_lib.Address
     stop_s: float
     key_bound_s: float
     apply_s: float
@@ -72,6 +86,7 @@
         decode_configuration: Decodes it.
         endpoints: The topic that lists the endpoints.
         decode_endpoint: Decodes one of them.
+        registry: Where the entries find each other.
     """
 
     dialect: dialect_lib.Dialect
@@ -80,6 +95,20 @@
     decode_configuration: knowledge.DecodeConfiguration
     endpoints: following.Topic
     decode_endpoint: knowledge.DecodeEndpoint
+    registry: "Registry"
+
+
+class Registry(Protocol):
+    """Where the entries find each other.
+
+    Both calls raise ``exceptions.PlatformUnavailableError``.
+    """
+
+    async def announce(self, name: str, address: pool_lib.Address) -> None:
+        """Writes where an entry can be reached."""
+
+    async def members(self) -> set[pool_lib.Address]:
+        """Returns where entries may be reached."""
 
 
 class Gateway:
@@ -124,16 +153,35 @@
             )
         ]
         self._endpoints.follower = self._followers[1]
+        self._board = sharing.LoadBoard()
+        self._placer = placing.Placer(
+            self._directory,
+            self._board,
+            choice.LeastLoaded(self._rng),
+            reactor,
+            self._rng,
+            self._log,
+            self._load_changed,
+        )
+        self._peers = peers_lib.Peers(
+            identifiers.new_incarnation(),
+            self._board,
+            self._placer.load,
+            self._placer.fill_all,
+            reactor,
+            self._log,
+        )
+        self._registry = sources.registry
+        self._ages = ages.Ages()
         self._tools = forwarding.Tools(
             reactor=reactor,
             dialect=sources.dialect,
             directory=self._directory,
             pool=self._pool,
-            chooser=choice.LeastLoaded(self._rng),
+            placer=self._placer,
             budgets=retries.BudgetsByService(
                 settings.retry_share, settings.retry_burst
             ),
-            rng=self._rng,
             zone=settings.zone,
             log=self._log,
         )
@@ -163,8 +211,17 @@
                 address.port, factory, backlog=1024, interface=address.host
             )
             self._listening.append(port)
+        self._listening.append(
+            self._reactor.listenUDP(
+                settings.peers.port,
+                self._peers,
+                interface=settings.peers.host,
+                maxPacketSize=peers_lib.MOST_BYTES,
+            )
+        )
         for follower in self._followers:
-            defer.ensureDeferred(follower.run()).addErrback(self._task_failed)
+            self._run(follower.run())
+        self._run(self._meet_peers())
         self._ticker.start(_TICK_S, now=False)
         self._log.info("started", zone=settings.zone)
 
@@ -186,6 +243,7 @@
 
     def close(self) -> None:
         """Closes sockets and tasks."""
+        self._peers.leave()
         for port in self._listening:
             port.stopListening()
         for channel in list(self._channels):
@@ -280,12 +338,31 @@
         return forwarding.Job(
             incoming=incoming,
             ask=ask,
+            ticket=self._ticket(incoming, ask, route, limit_s),
             route=route,
             service=route.pick(self._rng),
             account=account.name if account else None,
             deadline_s=incoming.received_s + limit_s,
         )
 
+    def _ticket(
+        self,
+        incoming: callers.Incoming,
+        ask: dialect_lib.Ask,
+        route: routes.Route,
+        limit_s: float,
+    ) -> waiting.Ticket:
+        received_s = incoming.received_s
+        age_s = self._ages.age_s(route.name, ask.time_left_s)
+        patience_s = limit_s
+        if route.patience_s is not None:
+            patience_s = min(limit_s, route.patience_s)
+        return waiting.Ticket(
+            priority=route.priority,
+            objective_at_s=received_s - age_s + route.objective_s,
+            patience_at_s=received_s + patience_s,
+        )
+
     def _is_too_late(self, route: routes.Route) -> bool:
         if self._drain_s is None:
             return False
@@ -324,6 +401,32 @@
             self.life.started()
         self._directory.expire(self._reactor.seconds())
         self._pool.sweep()
+        self._peers.tick()
+        self._placer.fill_all()
+
+    def _load_changed(self) -> None:
+        self._peers.changed()
+
+    async def _meet_peers(self) -> None:
+        """Announces this entry, and learns of the others."""
+        own = self._settings.peers
+        failures = 0
+        while True:
+            try:
+                await self._registry.announce(self._settings.name, own)
+                members = await self._registry.members()
+                break
+            except exceptions.PlatformUnavailableError as failed:
+                failures += 1
+                self._log.info("announce_failed", detail=str(failed))
+                delay_s = retries.backoff_s(
+                    failures, _MEET_BASE_S, _MEET_MOST_S, self._rng
+                )
+                await task.deferLater(self._reactor, delay_s)
+        self._peers.introduce(members - {own})
+
+    def _run(self, running: Any) -> None:
+        defer.ensureDeferred(running).addErrback(self._task_failed)
 
     def _task_failed(self, reason: Any) -> None:
         self._log.warning("task_failed", detail=reason.getTraceback())
--- /dev/null
+++ b/libs/gateway/src/godwitdale_gateway/peers.py
@@ -0,0 +1,212 @@
+"""Datagrams in which the entries tell each other about their load."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from twisted.internet import protocol
+
+from godwitdale_http import pool as pool_lib
+from godwitdale_observe import logs
+from godwitdale_routing import sharing
+from godwitdale_routing import waiting
+
+# Changes are collected for this long before they are told.
+_COLLECT_S = 0.005
+# An entry without changes shows that it lives; see ``sharing.SILENCE_S``.
+_HEARTBEAT_S = 1.0
+# Bytes a second that one entry may spend on telling its load, and how many
+# seconds of that it may spend at once.
+_BUDGET_BYTES_PER_S = 20_000.0
+_BURST_S = 1.0
+# Largest message; a datagram that is cut up is lost more often.
+MOST_BYTES = 1400
+# How often an entry introduces itself to one that has not answered yet.
+_INTRODUCTIONS = 5
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True):
+    """What one entry tells the others.
+
+    Attributes:
+        sender: Name of this life of the entry.
+        sequence: Grows with each message of one life.
+        in_work: Requests in work by endpoint.
+        heads: By service, the most urgent waiting requests: whether late,
+            priority, and milliseconds until they are due.
+        is_last: Whether the entry stops.
+    """
+
+    sender: str
+    sequence: int
+    in_work: dict[str, int]
+    heads: dict[str, list[tuple[bool, int, int]]]
+    is_last: bool = False
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+OwnLoad = Callable[[], tuple[dict[str, int], dict[str, list[waiting.Urgency]]]]
+
+
+class Peers(protocol.DatagramProtocol):
+    """Tells the load of this entry, and collects that of the others."""
+
+    transport: Any
+
+    def __init__(
+        self,
+        name: str,
+        board: sharing.LoadBoard,
+        own_load: OwnLoad,
+        changed: Callable[[], None],
+        reactor: Any,
+        log: logs.EventLog,
+    ) -> None:
+        """Prepares; nothing is sent until it listens.
+
+        Args:
+            name: Name of this life of the entry.
+            board: Takes the load of the others.
+            own_load: Returns the load of this entry.
+            changed: Called when the load of another has changed.
+            reactor: The Twisted reactor.
+            log: The log of decisions.
+        """
+        self._name = name
+        self._board = board
+        self._own_load = own_load
+        self._on_change = changed
+        self._reactor = reactor
+        self._log = log
+        self._sequence = 0
+        self._known: dict[pool_lib.Address, int] = {}
+        self._heard: dict[pool_lib.Address, tuple[str, float]] = {}
+        self._timer: Any = None
+        self._told_s = 0.0
+        self._spent_until_s = 0.0
+
+    def introduce(self, addresses: set[pool_lib.Address]) -> None:
+        """Learns where other entries may be.
+
+        Args:
+            addresses: From the store; some may be gone.
+        """
+        for address in addresses:
+            self._known.setdefault(address, _INTRODUCTIONS)
+        self.changed()
+
+    def changed(self) -> None:
+        """Is told that the load here has changed; the others hear soon."""
+        if self._timer is not None or self.transport is None:
+            return
+        now_s = self._reactor.seconds()
+        wait_s = max(_COLLECT_S, self._spent_until_s - now_s)
+        self._timer = self._reactor.callLater(wait_s, self._tell)
+
+    def tick(self) -> None:
+        """Sends a heartbeat where nothing else was sent, and forgets."""
+        now_s = self._reactor.seconds()
+        if now_s - self._told_s >= _HEARTBEAT_S:
+            self.changed()
+        for address, (peer, heard_s) in list(self._heard.items()):
+            if now_s - heard_s > sharing.SILENCE_S:
+                del self._heard[address]
+                self._log.info("peer_silent", peer=peer)
+        self._board.expire(now_s)
+
+    def leave(self) -> None:
+        """Tells the others that this entry stops."""
+        if self.transport is not None:
+            self._send({}, {}, is_last=True)
+
+    def datagramReceived(  # noqa: N802
+        self, datagram: bytes, addr: tuple[str, int]
+    ) -> None:
+        """Takes the load of another entry."""
+        try:
+            message = _decoder.decode(datagram)
+        except msgspec.MsgspecError as fault:
+            self._log.info("peer_unreadable", peer=addr[0], detail=str(fault))
+            return
+        if message.sender == self._name:
+            return
+        now_s = self._reactor.seconds()
+        address = pool_lib.Address(addr[0], addr[1])
+        if message.is_last:
+            self._heard.pop(address, None)
+            self._board.drop(message.sender)
+            self._on_change()
+            return
+        self._note(address, message.sender, now_s)
+        if self._board.put(message.sender, _load(message, now_s), now_s):
+            self._on_change()
+
+    def connectionRefused(self) -> None:  # noqa: N802
+        """Nobody listens at one of the addresses."""
+
+    def _note(
+        self, address: pool_lib.Address, sender: str, now_s: float
+    ) -> None:
+        known = self._heard.get(address)
+        self._heard[address] = (sender, now_s)
+        if known is None:
+            self._log.info("peer_heard", peer=sender, host=address.host)
+            self.changed()
+        elif known[0] != sender:
+            self._board.drop(known[0])
+
+    def _tell(self) -> None:
+        self._timer = None
+        in_work, heads = self._own_load()
+        self._send(in_work, heads, is_last=False)
+
+    def _send(
+        self,
+        in_work: dict[str, int],
+        heads: dict[str, list[waiting.Urgency]],
+        is_last: bool,
+    ) -> None:
+        now_s = self._reactor.seconds()
+        self._sequence += 1
+        self._told_s = now_s
+        told = {
+            service: [
+                (each.is_late, each.priority, int((each.due_s - now_s) * 1000))
+                for each in urgencies
+            ]
+            for service, urgencies in heads.items()
+        }
+        message = Message(self._name, self._sequence, in_work, told, is_last)
+        data = _encoder.encode(message)
+        if len(data) > MOST_BYTES:
+            self._log.warning("load_too_large", size=len(data))
+            return
+        targets = self._targets()
+        spent_s = len(data) * len(targets) / _BUDGET_BYTES_PER_S
+        earned_s = max(self._spent_until_s, now_s - _BURST_S)
+        self._spent_until_s = earned_s + spent_s
+        for address in targets:
+            self.transport.write(data, (address.host, address.port))
+
+    def _targets(self) -> list[pool_lib.Address]:
+        targets = list(self._heard)
+        for address, left in list(self._known.items()):
+            if address in self._heard:
+                continue
+            if left > 0:
+                self._known[address] = left - 1
+                targets.append(address)
+        return targets
+
+
+def _load(message: Message, now_s: float) -> sharing.Load:
+    heads = {
+        service: tuple(
+            waiting.Urgency(is_late, priority, now_s + due_ms / 1000)
+            for is_late, priority, due_ms in told
+        )
+        for service, told in message.heads.items()
+    }
+    return sharing.Load(message.sequence, message.in_work, heads)
--- /dev/null
+++ b/libs/gateway/src/godwitdale_gateway/placing.py
@@ -0,0 +1,282 @@
+"""Gives requests a place at an endpoint, now or when one becomes free."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+from typing import Any
+from typing import Protocol
+
+from godwitdale_gateway import directory as directory_lib
+from godwitdale_observe import logs
+from godwitdale_routing import choice
+from godwitdale_routing import sharing
+from godwitdale_routing import waiting
+from godwitdale_verdicts import outcomes
+
+# Times that are assumed of a service before any answer has been seen.
+_FIRST_S = 0.15
+_WHOLE_S = 1.0
+# When a service without endpoints is worth another try: about one interval in
+# which the store learns of a new endpoint.
+_NO_ENDPOINT_RETRY_S = 0.5
+# Callers that were refused come back spread over this much of the time after
+# which there will be room, so that they do not meet again.
+_RETRY_SPREAD = 1.0
+_LEAST_RETRY_S = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Want:
+    """What a request asks for.
+
+    Attributes:
+        service: Name of the service.
+        ticket: How long it may wait.
+        ask: What the choice of an endpoint may know of it.
+    """
+
+    service: str
+    ticket: waiting.Ticket
+    ask: choice.Ask
+
+
+class Seeker(Protocol):
+    """A request that needs an endpoint."""
+
+    want: Want
+    tried: set[str]
+
+    def placed(self, entry: directory_lib.Entry) -> None:
+        """Gets a place; ``release`` gives it back."""
+
+    def refused(self, refusal: outcomes.Refusal) -> None:
+        """Gets none."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Service:
+    """One service as this entry uses it."""
+
+    pace: waiting.Pace
+    line: waiting.Line[Seeker]
+
+
+class Placer:
+    """Places requests by what this entry and the others have in work."""
+
+    def __init__(
+        self,
+        directory: directory_lib.Directory,
+        board: sharing.LoadBoard,
+        chooser: choice.Chooser,
+        reactor: Any,
+        rng: random.Random,
+        log: logs.EventLog,
+        changed: Callable[[], None],
+    ) -> None:
+        """Starts with nothing in work.
+
+        Args:
+            directory: The endpoints.
+            board: The load of the other entries.
+            chooser: Picks one of several endpoints.
+            reactor: The Twisted reactor.
+            rng: Source of jitter.
+            log: The log of decisions.
+            changed: Called when the load here has changed.
+        """
+        self._directory = directory
+        self._board = board
+        self._chooser = chooser
+        self._reactor = reactor
+        self._rng = rng
+        self._log = log
+        self._changed = changed
+        self._services: dict[str, _Service] = {}
+        self._timers: dict[Seeker, Any] = {}
+
+    def pace(self, service: str) -> waiting.Pace:
+        """Returns the times of a service."""
+        return self._service(service).pace
+
+    def submit(self, seeker: Seeker) -> None:
+        """Places a request, lets it wait, or refuses it."""
+        now_s = self._reactor.seconds()
+        want = seeker.want
+        service = self._service(want.service)
+        own = waiting.urgency(want.ticket, service.pace, now_s)
+        if self._try_place(seeker, own, now_s):
+            return
+        refusal = self._hopeless(seeker, own, now_s)
+        if refusal is not None:
+            seeker.refused(refusal)
+            return
+        service.line.add(seeker, want.ticket)
+        self._arm(seeker, own.due_s - now_s)
+        self._changed()
+
+    def withdraw(self, seeker: Seeker) -> None:
+        """Takes a request out that does not need a place any more."""
+        self._disarm(seeker)
+        if self._service(seeker.want.service).line.remove(seeker):
+            self._changed()
+
+    def release(self, entry: directory_lib.Entry) -> None:
+        """Gives a place back."""
+        entry.tracked.sent -= 1
+        self._changed()
+        self.fill(entry.endpoint.service)
+
+    def fill(self, name: str) -> None:
+        """Hands free places of a service to the requests that wait for them."""
+        service = self._services.get(name)
+        if service is None or not len(service.line):
+            return
+        now_s = self._reactor.seconds()
+        for own, seeker in service.line.order(service.pace, now_s):
+            if not self._has_turn(name, own):
+                return
+            if self._candidates(seeker, now_s):
+                self._disarm(seeker)
+                service.line.remove(seeker)
+                self._place(seeker, now_s)
+
+    def fill_all(self) -> None:
+        """Does so for every service."""
+        for name in list(self._services):
+            self.fill(name)
+
+    def load(self) -> tuple[dict[str, int], dict[str, list[waiting.Urgency]]]:
+        """Returns what the other entries have to know."""
+        now_s = self._reactor.seconds()
+        in_work = {
+            entry.endpoint.id: entry.tracked.sent
+            for entry in self._directory.entries()
+            if entry.tracked.sent
+        }
+        heads = {
+            name: [
+                own
+                for own, _ in service.line.order(service.pace, now_s)[
+                    : sharing.HEADS
+                ]
+            ]
+            for name, service in self._services.items()
+            if len(service.line)
+        }
+        return in_work, heads
+
+    def _service(self, name: str) -> _Service:
+        service = self._services.get(name)
+        if service is None:
+            service = _Service(waiting.Pace(_FIRST_S, _WHOLE_S), waiting.Line())
+            self._services[name] = service
+        return service
+
+    def _taken(self, entry: directory_lib.Entry) -> int:
+        return entry.tracked.sent + self._board.in_work(entry.endpoint.id)
+
+    def _free(self, entry: directory_lib.Entry) -> int:
+        return max(0, entry.endpoint.slots - self._taken(entry))
+
+    def _candidates(
+        self, seeker: Seeker, now_s: float
+    ) -> list[directory_lib.Entry]:
+        usable = self._directory.candidates(
+            seeker.want.service, seeker.tried, now_s
+        )
+        return [entry for entry in usable if self._free(entry)]
+
+    def _has_turn(self, name: str, own: waiting.Urgency) -> bool:
+        free = sum(
+            self._free(entry) for entry in self._directory.of_service(name)
+        )
+        return waiting.may_take_place(own, self._board.heads(name), free)
+
+    def _try_place(
+        self, seeker: Seeker, own: waiting.Urgency, now_s: float
+    ) -> bool:
+        name = seeker.want.service
+        service = self._service(name)
+        ranked = service.line.order(service.pace, now_s)
+        if ranked and ranked[0][0] < own:
+            return False
+        if not self._has_turn(name, own):
+            return False
+        if not self._candidates(seeker, now_s):
+            return False
+        self._place(seeker, now_s)
+        return True
+
+    def _place(self, seeker: Seeker, now_s: float) -> None:
+        candidates = self._candidates(seeker, now_s)
+        for entry in candidates:
+            entry.tracked.report = dataclasses.replace(
+                entry.tracked.report,
+                running=self._board.in_work(entry.endpoint.id),
+            )
+        tracked = self._chooser.choose(
+            [entry.tracked for entry in candidates], seeker.want.ask, now_s
+        )
+        chosen = self._directory.get(tracked.name)
+        assert chosen is not None
+        chosen.tracked.sent += 1
+        self._changed()
+        seeker.placed(chosen)
+
+    def _hopeless(
+        self, seeker: Seeker, own: waiting.Urgency, now_s: float
+    ) -> outcomes.Refusal | None:
+        """Returns a refusal where waiting has no hope, or None."""
+        name = seeker.want.service
+        service = self._service(name)
+        entries = self._directory.of_service(name)
+        if not any(each.endpoint.id not in seeker.tried for each in entries):
+            return outcomes.not_run(
+                outcomes.Reason.NO_ENDPOINT,
+                "no endpoint takes work",
+                retry_after_s=self._spread(_NO_ENDPOINT_RETRY_S),
+            )
+        places = sum(entry.endpoint.slots for entry in entries)
+        turn_s = service.pace.turn_s(places)
+        others = self._board.heads(name)
+        others += [
+            each
+            for each, item in service.line.order(service.pace, now_s)
+            if item is not seeker
+        ]
+        if waiting.may_wait(own, others, turn_s, now_s):
+            return None
+        room_s = max(_LEAST_RETRY_S, service.pace.whole_s / 2)
+        return outcomes.not_run(
+            outcomes.Reason.OVERLOADED,
+            f"{len(others)} requests wait, a place takes {turn_s:.3f} s",
+            retry_after_s=self._spread(room_s + len(others) * turn_s),
+        )
+
+    def _spread(self, delay_s: float) -> float:
+        return delay_s * (1 + _RETRY_SPREAD * self._rng.random())
+
+    def _arm(self, seeker: Seeker, delay_s: float) -> None:
+        self._timers[seeker] = self._reactor.callLater(
+            max(0.0, delay_s), self._due, seeker
+        )
+
+    def _disarm(self, seeker: Seeker) -> None:
+        timer = self._timers.pop(seeker, None)
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def _due(self, seeker: Seeker) -> None:
+        """A waiting request has lost its objective, or all hope."""
+        self._timers.pop(seeker, None)
+        now_s = self._reactor.seconds()
+        service = self._service(seeker.want.service)
+        own = waiting.urgency(seeker.want.ticket, service.pace, now_s)
+        refusal = self._hopeless(seeker, own, now_s)
+        if refusal is None:
+            self._arm(seeker, own.due_s - now_s)
+            return
+        service.line.remove(seeker)
+        self._changed()
+        seeker.refused(refusal)
--- a/libs/gateway/src/godwitdale_gateway/refusing.py
+++ b/libs/gateway/src/godwitdale_gateway/refusing.py
@@ -5,9 +5,8 @@
 from godwitdale_verdicts import outcomes
 from godwitdale_verdicts import verdict as verdict_lib
 
-# When a service without endpoints is worth another try: about one interval
-# in which the store learns of a new endpoint.
-NO_ENDPOINT_RETRY_S = 0.5
+# When endpoints that could not be reached are worth another try.
+UNREACHED_RETRY_S = 0.5
 # When a full endpoint is worth another try: about the length of an answer.
 OVERLOADED_RETRY_S = 0.3
 # When an entry that cannot confirm keys is worth another try elsewhere.
--- a/libs/routing/src/godwitdale_routing/routes.py
+++ b/libs/routing/src/godwitdale_routing/routes.py
@@ -46,6 +46,8 @@
         most_attempts: Endpoints that one request may be sent to.
         is_public: Whether no key is needed.
         is_resumable: Whether a stream may go on at another endpoint.
+        patience_s: How long callers wait for the first event of a stream, or
+            None where they wait for as long as they say.
     """
 
     name: str
@@ -60,6 +62,7 @@
     most_attempts: int = 1
     is_public: bool = False
     is_resumable: bool = False
+    patience_s: float | None = None
 
     @property
     def is_repeatable(self) -> bool:
--- /dev/null
+++ b/libs/routing/src/godwitdale_routing/sharing.py
@@ -0,0 +1,99 @@
+"""What the entries tell each other about their load.
+
+Each entry sends how many requests it has in work at each endpoint, and its most
+urgent waiting requests. The others add that up. Nothing is agreed on: a message
+that is lost or late makes a choice worse, never wrong.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+
+from godwitdale_routing import waiting
+
+# An entry that has not been heard of for this long holds nothing any more;
+# three heartbeats fit in.
+SILENCE_S = 3.2
+# Most urgent waiting requests that an entry tells, for each service.
+HEADS = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """What one entry told.
+
+    Attributes:
+        sequence: Grows with each message of one life of the entry.
+        in_work: Requests in work by endpoint.
+        heads: Most urgent waiting requests by service.
+    """
+
+    sequence: int
+    in_work: Mapping[str, int]
+    heads: Mapping[str, tuple[waiting.Urgency, ...]]
+
+
+class LoadBoard:
+    """The newest load of every other entry."""
+
+    __slots__ = ("_loads", "_heard_s", "_totals")
+
+    def __init__(self) -> None:
+        self._loads: dict[str, Load] = {}
+        self._heard_s: dict[str, float] = {}
+        self._totals: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._loads)
+
+    def put(self, peer: str, load: Load, now_s: float) -> bool:
+        """Takes over a message; returns whether anything is new.
+
+        Args:
+            peer: Name of one life of an entry.
+            load: What it told.
+            now_s: The present time.
+        """
+        known = self._loads.get(peer)
+        if known is not None and known.sequence >= load.sequence:
+            return False
+        self._heard_s[peer] = now_s
+        self._loads[peer] = load
+        if known is not None and known.in_work == load.in_work:
+            return known.heads != load.heads
+        self._add_up()
+        return True
+
+    def drop(self, peer: str) -> None:
+        """Forgets an entry that has said that it stops."""
+        if self._loads.pop(peer, None) is not None:
+            del self._heard_s[peer]
+            self._add_up()
+
+    def expire(self, now_s: float) -> None:
+        """Forgets entries that have fallen silent."""
+        silent = [
+            peer
+            for peer, heard_s in self._heard_s.items()
+            if now_s - heard_s > SILENCE_S
+        ]
+        for peer in silent:
+            self.drop(peer)
+
+    def in_work(self, endpoint: str) -> int:
+        """Returns how many requests the others have in work there."""
+        return self._totals.get(endpoint, 0)
+
+    def heads(self, service: str) -> list[waiting.Urgency]:
+        """Returns the most urgent requests that wait elsewhere."""
+        return [
+            head
+            for load in self._loads.values()
+            for head in load.heads.get(service, ())
+        ]
+
+    def _add_up(self) -> None:
+        totals: dict[str, int] = {}
+        for load in self._loads.values():
+            for endpoint, count in load.in_work.items():
+                totals[endpoint] = totals.get(endpoint, 0) + count
+        self._totals = totals
--- /dev/null
+++ b/libs/routing/src/godwitdale_routing/waiting.py
@@ -0,0 +1,175 @@
+"""Which of the waiting requests goes next, and which may wait at all.
+
+The load that this answers: a little more arrives than the endpoints can serve,
+for many seconds. If all of it were let in, every request would wait behind the
+backlog and all of them would come late. So a request starts while it can still
+meet its objective, the rest waits behind it or is refused at once.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+from typing import Generic
+from typing import TypeVar
+
+Item = TypeVar("Item")
+
+# Share of all turns that requests which have lost their objective may count
+# on; the others go to requests that can still meet theirs.
+_LATE_SHARE = 0.25
+# Weight of the newest observation in smoothed times.
+_EWMA_WEIGHT = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Urgency:
+    """Orders requests; the smallest goes first.
+
+    Attributes:
+        is_late: Whether the objective cannot be met any more.
+        priority: 0 is the most urgent.
+        due_s: Latest start that meets the objective, or for late requests
+            the end of the caller's patience.
+    """
+
+    is_late: bool
+    priority: int
+    due_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """What is known of a request when it asks for a place.
+
+    Attributes:
+        priority: 0 is the most urgent.
+        objective_at_s: When its answer has to begin to be on time.
+        patience_at_s: When it is of no use any more to begin.
+    """
+
+    priority: int
+    objective_at_s: float
+    patience_at_s: float
+
+
+class Pace:
+    """Smoothed times of one service, as this process sees them.
+
+    Attributes:
+        first_s: From sending a request to the first part of its answer.
+        whole_s: From sending a request to the end of its answer.
+    """
+
+    __slots__ = ("first_s", "whole_s")
+
+    def __init__(self, first_s: float, whole_s: float) -> None:
+        """Starts from what is declared or assumed."""
+        self.first_s = first_s
+        self.whole_s = whole_s
+
+    def began(self, took_s: float) -> None:
+        """Takes the beginning of an answer into account."""
+        self.first_s += _EWMA_WEIGHT * (took_s - self.first_s)
+
+    def ended(self, took_s: float) -> None:
+        """Takes the end of an answer into account."""
+        self.whole_s += _EWMA_WEIGHT * (took_s - self.whole_s)
+
+    def turn_s(self, places: int) -> float:
+        """Returns the time between two places that become free.
+
+        Args:
+            places: Requests that the service runs at once.
+        """
+        return self.whole_s / max(1, places)
+
+
+def urgency(ticket: Ticket, pace: Pace, now_s: float) -> Urgency:
+    """Returns how urgent a request is at a moment.
+
+    Args:
+        ticket: The request.
+        pace: Times of its service.
+        now_s: The moment.
+    """
+    latest_s = latest_start_s(ticket, pace)
+    if now_s <= latest_s:
+        return Urgency(False, ticket.priority, latest_s)
+    return Urgency(True, ticket.priority, ticket.patience_at_s)
+
+
+def latest_start_s(ticket: Ticket, pace: Pace) -> float:
+    """Returns when a request has to start to meet its objective."""
+    return ticket.objective_at_s - pace.first_s
+
+
+def may_wait(
+    own: Urgency,
+    others: Iterable[Urgency],
+    turn_s: float,
+    now_s: float,
+) -> bool:
+    """Tells whether a request has any hope of a place in time.
+
+    Args:
+        own: How urgent it is.
+        others: All other requests that wait, at every entry.
+        turn_s: Time between two places that become free.
+        now_s: The present time.
+    """
+    left_s = own.due_s - now_s
+    if not own.is_late:
+        ahead = sum(1 for each in others if each < own)
+        return (ahead + 1) * turn_s <= left_s
+    ahead = sum(1 for each in others if each.is_late and each < own)
+    return (ahead + 1) * turn_s <= left_s * _LATE_SHARE
+
+
+class Line(Generic[Item]):
+    """The requests of one service that wait at this entry."""
+
+    __slots__ = ("_tickets",)
+
+    def __init__(self) -> None:
+        self._tickets: dict[Item, Ticket] = {}
+
+    def __len__(self) -> int:
+        return len(self._tickets)
+
+    def add(self, item: Item, ticket: Ticket) -> None:
+        """Adds a request."""
+        self._tickets[item] = ticket
+
+    def remove(self, item: Item) -> bool:
+        """Takes a request out; returns whether it waited."""
+        return self._tickets.pop(item, None) is not None
+
+    def order(self, pace: Pace, now_s: float) -> list[tuple[Urgency, Item]]:
+        """Returns the requests, the most urgent first.
+
+        Args:
+            pace: Times of the service.
+            now_s: The present time.
+        """
+        ranked = [
+            (urgency(ticket, pace, now_s), item)
+            for item, ticket in self._tickets.items()
+        ]
+        ranked.sort(key=lambda pair: pair[0])
+        return ranked
+
+
+def may_take_place(
+    own: Urgency, heads_elsewhere: Iterable[Urgency], free_places: int
+) -> bool:
+    """Tells whether a free place falls to a request of this entry.
+
+    Every entry applies the same rule to the same heads, so that one place is
+    seldom taken twice although nobody hands it out.
+
+    Args:
+        own: The most urgent request here.
+        heads_elsewhere: The most urgent requests of the other entries.
+        free_places: Places that are free as far as is known.
+    """
+    ahead = sum(1 for each in heads_elsewhere if each < own)
+    return free_places > ahead
--- /dev/null
+++ b/tests/unit/test_routes.py
@@ -0,0 +1,85 @@
+import random
+
+import pytest
+
+from godwitdale_routing import ages
+from godwitdale_routing import routes
+
+
+def route(prefix, host="a.example", **fields):
+    values = {
+        "name": f"{host}{prefix}",
+        "host": host,
+        "path_prefix": prefix,
+        "kind": routes.Kind.IDEMPOTENT,
+        "shares": (routes.Share("app", 1.0),),
+        "timeout_s": 2.0,
+        "objective_s": 0.4,
+    }
+    return routes.Route(**{**values, **fields})
+
+
+TABLE = routes.RouteTable(
+    [route("/"), route("/a/"), route("/a/b/"), route("/x/", host="b.example")]
+)
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "found"),
+    [
+        ("a.example", "/", "a.example/"),
+        ("a.example", "/a/", "a.example/a/"),
+        ("a.example", "/a", "a.example/"),
+        ("a.example", "/a/b", "a.example/a/"),
+        ("a.example", "/a/b/c/d", "a.example/a/b/"),
+        ("A.Example:8080", "/a/1", "a.example/a/"),
+        ("b.example", "/x/1", "b.example/x/"),
+        ("b.example", "/a/1", None),
+        ("c.example", "/a/1", None),
+        ("", "/a/1", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_is_found(host, path, found):
+    result = TABLE.find(host, path)
+    assert (result.name if result else None) == found
+
+
+def test_traffic_is_split_by_weight():
+    split = route(
+        "/", shares=(routes.Share("old", 90.0), routes.Share("new", 10.0))
+    )
+    rng = random.Random(1)
+    drawn = [split.pick(rng) for _ in range(2000)]
+    assert 0.85 < drawn.count("old") / len(drawn) < 0.95
+
+
+def test_a_share_without_weight_gets_nothing():
+    split = route(
+        "/", shares=(routes.Share("old", 0.0), routes.Share("new", 1.0))
+    )
+    assert split.pick(random.Random(1)) == "new"
+
+
+@pytest.mark.parametrize(
+    ("kind", "is_resumable", "is_repeatable"),
+    [
+        (routes.Kind.IDEMPOTENT, False, True),
+        (routes.Kind.NON_IDEMPOTENT, False, False),
+        (routes.Kind.NON_IDEMPOTENT, True, False),
+        (routes.Kind.STREAM, False, False),
+        (routes.Kind.STREAM, True, True),
+    ],
+)
+def test_what_may_be_repeated_follows_from_the_kind(
+    kind, is_resumable, is_repeatable
+):
+    found = route("/", kind=kind, is_resumable=is_resumable)
+    assert found.is_repeatable is is_repeatable
+
+
+def test_a_caller_that_comes_back_is_known_by_the_time_it_has_left():
+    known = ages.Ages()
+    assert known.age_s("r", 8.0) == 0.0
+    assert known.age_s("r", 7.0) == 1.0
+    assert known.age_s("other", 7.0) == 0.0
+    assert known.age_s("r", None) == 0.0
