Limit the streams of a service by its learnt pass time

Change: told urgencies age, routing.concurrency learns what a writer adds to a pass and limits how many run, a margin on the time to the first event.

--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -136,6 +136,9 @@
         self._last_event_id = job.ask.last_event_id
         self._has_head = False
         self._has_part = False
+        self._first_s = 0.0
+        self._last_part_s = 0.0
+        self._widest_gap_s = 0.0
         self._is_over = False
         self._timer: Any = None
 
@@ -306,7 +309,7 @@
         last = self._last_event_id
         if event.id is not None and last is not None and event.id <= last:
             return
-        self._note_beginning()
+        self._note_part()
         if not self._has_head:
             self._has_head = True
             self._answer.head(self._status, self._answer_headers())
@@ -314,21 +317,42 @@
         if event.id is not None:
             self._last_event_id = event.id
 
-    def _note_beginning(self) -> None:
-        """Takes the first part of an attempt's answer into account."""
-        if self._has_part:
-            return
-        self._has_part = True
-        took_s = self._tools.reactor.seconds() - self._sent_s
-        self._tools.placer.pace(self._job.service).began(took_s)
+    def _note_part(self) -> None:
+        """Takes the time of a part of an answer into account."""
+        now_s = self._tools.reactor.seconds()
+        if self._first_s == 0.0:
+            self._first_s = now_s
+        else:
+            gap_s = now_s - self._last_part_s
+            self._widest_gap_s = max(self._widest_gap_s, gap_s)
+            objective_s = self._job.route.gap_objective_s
+            if objective_s is not None and self._has_part:
+                service = self._job.service
+                self._tools.placer.paused(service, gap_s, objective_s)
+        self._last_part_s = now_s
+        if not self._has_part:
+            self._has_part = True
+            pace = self._tools.placer.pace(self._job.service)
+            pace.began(now_s - self._sent_s)
 
     def _note_end(self) -> None:
-        took_s = self._tools.reactor.seconds() - self._sent_s
-        self._tools.placer.pace(self._job.service).ended(took_s)
+        now_s = self._tools.reactor.seconds()
+        self._tools.placer.pace(self._job.service).ended(now_s - self._sent_s)
+        started_s = self._job.incoming.received_s
+        self._tools.log.info(
+            "answered",
+            request=self._job.ask.request_id.decode("latin-1"),
+            route=self._job.route.name,
+            attempts=self._attempts,
+            waited_s=round(self._sent_s - started_s, 3),
+            first_s=round(self._first_s - started_s, 3),
+            gap_s=round(self._widest_gap_s, 3),
+            whole_s=round(now_s - started_s, 3),
+        )
 
     def _finish_success(self) -> None:
         if not self._is_live_stream():
-            self._note_beginning()
+            self._note_part()
             self._note_end()
             self._answer_whole()
             return
--- a/libs/gateway/src/godwitdale_gateway/gateway.py
+++ b/libs/gateway/src/godwitdale_gateway/gateway.py
@@ -20,7 +20,6 @@
 from godwitdale_http import pool as pool_lib
 from godwitdale_observe import logs
 from godwitdale_process import lifecycle
-from godwitdale_routing import ages
 from godwitdale_routing import choice
 from godwitdale_routing import freshness as freshness_lib
 from godwitdale_routing import retries
@@ -139,6 +138,7 @@
             sources.configuration_key,
             sources.decode_configuration,
             freshness_lib.Freshness(settings.key_bound_s),
+            self._configuration_changed,
             reactor,
             self._log,
         )
@@ -172,7 +172,6 @@
             self._log,
         )
         self._registry = sources.registry
-        self._ages = ages.Ages()
         self._tools = forwarding.Tools(
             reactor=reactor,
             dialect=sources.dialect,
@@ -338,7 +337,7 @@
         return forwarding.Job(
             incoming=incoming,
             ask=ask,
-            ticket=self._ticket(incoming, ask, route, limit_s),
+            ticket=self._ticket(incoming, route, limit_s),
             route=route,
             service=route.pick(self._rng),
             account=account.name if account else None,
@@ -348,18 +347,16 @@
     def _ticket(
         self,
         incoming: callers.Incoming,
-        ask: dialect_lib.Ask,
         route: routes.Route,
         limit_s: float,
     ) -> waiting.Ticket:
         received_s = incoming.received_s
-        age_s = self._ages.age_s(route.name, ask.time_left_s)
         patience_s = limit_s
         if route.patience_s is not None:
             patience_s = min(limit_s, route.patience_s)
         return waiting.Ticket(
             priority=route.priority,
-            objective_at_s=received_s - age_s + route.objective_s,
+            objective_at_s=received_s + route.objective_s,
             patience_at_s=received_s + patience_s,
         )
 
@@ -404,6 +401,11 @@
         self._peers.tick()
         self._placer.fill_all()
 
+    def _configuration_changed(
+        self, configuration: routes.Configuration
+    ) -> None:
+        self._placer.configure(configuration.engines)
+
     def _load_changed(self) -> None:
         self._peers.changed()
 
--- a/libs/gateway/src/godwitdale_gateway/knowledge.py
+++ b/libs/gateway/src/godwitdale_gateway/knowledge.py
@@ -33,6 +33,7 @@
         key: str,
         decode: DecodeConfiguration,
         freshness: freshness_lib.Freshness,
+        changed: Callable[[routes.Configuration], None],
         clock: Any,
         log: logs.EventLog,
     ) -> None:
@@ -42,6 +43,7 @@
             key: Key of the record that holds it.
             decode: Returns a configuration, or None for what is none.
             freshness: Decides how long it may be trusted.
+            changed: Called with each new configuration.
             clock: A Twisted ``IReactorTime``.
             log: The log of decisions.
         """
@@ -49,6 +51,7 @@
         self.freshness = freshness
         self._key = key
         self._decode = decode
+        self._on_change = changed
         self._clock = clock
         self._log = log
 
@@ -81,6 +84,7 @@
         if known is not None and configuration.version <= known.version:
             return
         self.current = configuration
+        self._on_change(configuration)
         self._log.info("configuration_in_force", version=configuration.version)
 
 
--- a/libs/gateway/src/godwitdale_gateway/placing.py
+++ b/libs/gateway/src/godwitdale_gateway/placing.py
@@ -1,6 +1,7 @@
 """Gives requests a place at an endpoint, now or when one becomes free."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 import random
 from typing import Any
@@ -9,6 +10,8 @@
 from godwitdale_gateway import directory as directory_lib
 from godwitdale_observe import logs
 from godwitdale_routing import choice
+from godwitdale_routing import concurrency as concurrency_lib
+from godwitdale_routing import routes
 from godwitdale_routing import sharing
 from godwitdale_routing import waiting
 from godwitdale_verdicts import outcomes
@@ -59,6 +62,8 @@
 
     pace: waiting.Pace
     line: waiting.Line[Seeker]
+    concurrency: concurrency_lib.Concurrency | None = None
+    gap_objective_s: float | None = None
 
 
 class Placer:
@@ -99,6 +104,37 @@
         """Returns the times of a service."""
         return self._service(service).pace
 
+    def configure(self, engines: Mapping[str, routes.Engine]) -> None:
+        """Takes over what is declared of the engines.
+
+        Args:
+            engines: By name of the service.
+        """
+        for name, engine in engines.items():
+            service = self._service(name)
+            if service.concurrency is None and engine.step_s > 0:
+                steps = engine.steps_per_pass
+                service.concurrency = concurrency_lib.Concurrency(
+                    steps * engine.step_s,
+                    steps * engine.step_per_request_s / max(1, engine.slots),
+                )
+
+    def paused(self, name: str, gap_s: float, objective_s: float) -> None:
+        """Takes a pause between two events of a stream into account.
+
+        Args:
+            name: Name of the service.
+            gap_s: The pause.
+            objective_s: Longest pause that is on time.
+        """
+        service = self._service(name)
+        if service.concurrency is None:
+            return
+        service.gap_objective_s = objective_s
+        entries = self._directory.of_service(name)
+        running = sum(self._taken(entry) for entry in entries)
+        service.concurrency.observe(gap_s, running, objective_s)
+
     def submit(self, seeker: Seeker) -> None:
         """Places a request, lets it wait, or refuses it."""
         now_s = self._reactor.seconds()
@@ -134,7 +170,7 @@
             return
         now_s = self._reactor.seconds()
         for own, seeker in service.line.order(service.pace, now_s):
-            if not self._has_turn(name, own):
+            if not self._has_turn(name, own, now_s):
                 return
             if self._candidates(seeker, now_s):
                 self._disarm(seeker)
@@ -187,11 +223,23 @@
         )
         return [entry for entry in usable if self._free(entry)]
 
-    def _has_turn(self, name: str, own: waiting.Urgency) -> bool:
-        free = sum(
-            self._free(entry) for entry in self._directory.of_service(name)
-        )
-        return waiting.may_take_place(own, self._board.heads(name), free)
+    def _has_turn(self, name: str, own: waiting.Urgency, now_s: float) -> bool:
+        heads = self._board.heads(name, now_s)
+        return waiting.may_take_place(own, heads, self._free_places(name))
+
+    def _free_places(self, name: str) -> int:
+        """Returns the places that are free within the limit of the service."""
+        entries = self._directory.of_service(name)
+        free = sum(self._free(entry) for entry in entries)
+        taken = sum(self._taken(entry) for entry in entries)
+        return min(free, self._limit(name, entries) - taken)
+
+    def _limit(self, name: str, entries: list[directory_lib.Entry]) -> int:
+        service = self._service(name)
+        slots = sum(entry.endpoint.slots for entry in entries)
+        if service.concurrency is None or service.gap_objective_s is None:
+            return slots
+        return service.concurrency.limit(service.gap_objective_s, slots)
 
     def _try_place(
         self, seeker: Seeker, own: waiting.Urgency, now_s: float
@@ -201,7 +249,7 @@
         ranked = service.line.order(service.pace, now_s)
         if ranked and ranked[0][0] < own:
             return False
-        if not self._has_turn(name, own):
+        if not self._has_turn(name, own, now_s):
             return False
         if not self._candidates(seeker, now_s):
             return False
@@ -237,9 +285,9 @@
                 "no endpoint takes work",
                 retry_after_s=self._spread(_NO_ENDPOINT_RETRY_S),
             )
-        places = sum(entry.endpoint.slots for entry in entries)
+        places = self._limit(name, entries)
         turn_s = service.pace.turn_s(places)
-        others = self._board.heads(name)
+        others = self._board.heads(name, now_s)
         others += [
             each
             for each, item in service.line.order(service.pace, now_s)
@@ -274,9 +322,9 @@
         service = self._service(seeker.want.service)
         own = waiting.urgency(seeker.want.ticket, service.pace, now_s)
         refusal = self._hopeless(seeker, own, now_s)
+        self._changed()
         if refusal is None:
             self._arm(seeker, own.due_s - now_s)
             return
         service.line.remove(seeker)
-        self._changed()
         seeker.refused(refusal)
--- a/libs/routing/src/godwitdale_routing/sharing.py
+++ b/libs/routing/src/godwitdale_routing/sharing.py
@@ -83,10 +83,15 @@
         """Returns how many requests the others have in work there."""
         return self._totals.get(endpoint, 0)
 
-    def heads(self, service: str) -> list[waiting.Urgency]:
-        """Returns the most urgent requests that wait elsewhere."""
+    def heads(self, service: str, now_s: float) -> list[waiting.Urgency]:
+        """Returns the most urgent requests that wait elsewhere.
+
+        Args:
+            service: Name of the service.
+            now_s: The present time.
+        """
         return [
-            head
+            waiting.as_of(head, now_s)
             for load in self._loads.values()
             for head in load.heads.get(service, ())
         ]
--- a/libs/routing/src/godwitdale_routing/waiting.py
+++ b/libs/routing/src/godwitdale_routing/waiting.py
@@ -18,6 +18,9 @@
 _LATE_SHARE = 0.25
 # Weight of the newest observation in smoothed times.
 _EWMA_WEIGHT = 0.1
+# Room between the mean time to a first part and what is planned for: nine in
+# ten answers begin within it while the engines are full.
+_FIRST_MARGIN = 1.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -99,7 +102,7 @@
 
 def latest_start_s(ticket: Ticket, pace: Pace) -> float:
     """Returns when a request has to start to meet its objective."""
-    return ticket.objective_at_s - pace.first_s
+    return ticket.objective_at_s - pace.first_s * _FIRST_MARGIN
 
 
 def may_wait(
@@ -124,6 +127,20 @@
     return (ahead + 1) * turn_s <= left_s * _LATE_SHARE
 
 
+def as_of(told: Urgency, now_s: float) -> Urgency:
+    """Returns how urgent a request is that was told some time ago.
+
+    One that could still be on time when it was told may have become late.
+
+    Args:
+        told: How urgent it was.
+        now_s: The present time.
+    """
+    if told.is_late or now_s <= told.due_s:
+        return told
+    return Urgency(True, told.priority, now_s)
+
+
 class Line(Generic[Item]):
     """The requests of one service that wait at this entry."""
 
--- a/tests/unit/test_freshness.py
+++ b/tests/unit/test_freshness.py
@@ -1,3 +1,5 @@
+"""How long keys are accepted without word from the store."""
+
 import pytest
 
 from godwitdale_routing import freshness
