Let the entries watch the store for each other

Change: each message says how far its sender has read, and an entry that is behind reads at once; the ends of the polls are spread over the entries; a copy is confirmed by another entry that was asked, and by the store itself only where that fails; the retry slack is divided among the entries that the store lists.

--- a/libs/gateway/src/godwitdale_gateway/following.py
+++ b/libs/gateway/src/godwitdale_gateway/following.py
@@ -1,5 +1,6 @@
 """Keeps a copy of a compacted topic of the platform's store."""
 
+from collections.abc import Callable
 import dataclasses
 import random
 from typing import Any
@@ -15,6 +16,8 @@
 # noticed well within the time in which it has to be in force.
 _BACKOFF_BASE_S = 0.1
 _BACKOFF_MOST_S = 0.8
+# Least time between two polls that are ended early.
+_HURRY_PAUSE_S = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,8 +77,10 @@
     def confirm(self, as_of_s: float) -> None:
         """Is told that it was complete at a moment."""
 
-    def poll_s(self) -> float:
-        """Returns how long the next read may wait."""
+
+PollWait = Callable[[bool], float]
+"""Returns how long a poll may wait; takes whether the last one brought
+anything."""
 
 
 class Follower:
@@ -90,6 +95,7 @@
         self,
         topic: Topic,
         copy: Copy,
+        poll_wait: PollWait,
         reactor: Any,
         rng: random.Random,
         log: logs.EventLog,
@@ -99,6 +105,7 @@
         Args:
             topic: What to read.
             copy: Takes what was read.
+            poll_wait: Returns how long a poll may wait.
             reactor: The Twisted reactor.
             rng: Source of jitter.
             log: The log of decisions.
@@ -107,18 +114,46 @@
         self.reached_s = reactor.seconds()
         self._topic = topic
         self._copy = copy
+        self._poll_wait = poll_wait
         self._reactor = reactor
         self._rng = rng
         self._log = log
         self._next: int | None = None
         self._failures = 0
         self._is_stopped = False
+        self._is_woken = True
+        self._is_hurried = False
+        self._hurried_s = 0.0
+        self._reading: defer.Deferred[Page | None] | None = None
+
+    @property
+    def name(self) -> str:
+        """Name of the topic."""
+        return self._topic.name
+
+    @property
+    def position(self) -> int | None:
+        """The first offset that has not been read, or None at the start."""
+        return self._next
+
+    def hurry(self) -> None:
+        """Ends a poll that may have missed something, and reads at once."""
+        now_s = self._reactor.seconds()
+        reading = self._reading
+        if reading is None or now_s - self._hurried_s < _HURRY_PAUSE_S:
+            return
+        self._hurried_s = now_s
+        self._is_hurried = True
+        self._log.info("poll_hurried", topic=self._topic.name)
+        reading.cancel()
 
     async def run(self) -> None:
         """Reads until ``stop``."""
         while not self._is_stopped:
             try:
                 await self._read_once()
+            except defer.CancelledError:
+                continue
             except exceptions.PlatformUnavailableError as failed:
                 self._note_failure(failed)
                 await self._sleep(
@@ -142,14 +177,23 @@
             page = await self._topic.newest()
             self._take(page, asked_s)
             return
-        wait_s = self._copy.poll_s()
-        following = await self._topic.read(self._next, wait_s)
+        wait_s = 0.0 if self._is_hurried else self._poll_wait(self._is_woken)
+        self._reading = defer.ensureDeferred(
+            self._topic.read(self._next, wait_s)
+        )
+        try:
+            following = await self._reading
+        finally:
+            self._reading = None
+        self._is_hurried = False
         if following is None:
             self._log.info("history_forgotten", topic=self._topic.name)
             self._next = None
+            self._is_woken = True
             return
         answered_s = self._reactor.seconds()
         is_empty = not following.items and answered_s >= asked_s + wait_s
+        self._is_woken = bool(following.items)
         self._take(following, asked_s + wait_s if is_empty else asked_s)
 
     def _take(self, page: Page, as_of_s: float) -> None:
--- a/libs/gateway/src/godwitdale_gateway/gateway.py
+++ b/libs/gateway/src/godwitdale_gateway/gateway.py
@@ -1,6 +1,7 @@
 """The gateway: an entry that calls endpoints directly."""
 
 import dataclasses
+import functools
 import random
 from typing import Any
 from typing import Protocol
@@ -25,6 +26,7 @@
 from godwitdale_routing import retries
 from godwitdale_routing import routes
 from godwitdale_routing import sharing
+from godwitdale_routing import turns
 from godwitdale_routing import waiting
 from godwitdale_verdicts import exceptions
 from godwitdale_verdicts import identifiers
@@ -39,6 +41,17 @@
 _DRAIN_STREAMS_S = 2.5
 # Kept of the time for a stop to close connections and exit.
 _STOP_RESERVE_S = 0.6
+# Share of the time in which a change has to be known after which one of the
+# entries looks for it, should the store have woken none.
+_STEP_SHARE = 0.5
+# How often it is checked whether the configuration has to be confirmed.
+_CONFIRM_S = 0.25
+# Shares of the platform's retry budget that the entries use together; the rest
+# is room for entries that do not hear of each other.
+_RETRY_SHARE = 0.5
+_RETRY_BURST_SHARE = 0.5
+# Entries that are assumed before the store has told how many there are.
+_ASSUMED_ENTRIES = 32
 # Bounds of the pause after a failed announcement; nothing but the quality of
 # choices depends on it.
 _MEET_BASE_S = 0.5
@@ -58,8 +71,9 @@
         stop_s: Time from the request to stop until the process is killed.
         key_bound_s: Oldest configuration by which a key may be accepted.
         apply_s: Time within which a change has to be in force.
+        leaving_s: Time in which a leaving endpoint stops getting work.
         retry_share: Retries allowed for each request to a service.
-        retry_burst: Retries that each service may save up.
+        retry_burst: Retries beyond that, over all entries.
     """
 
     name: str
@@ -70,6 +84,7 @@
     stop_s: float
     key_bound_s: float
     apply_s: float
+    leaving_s: float
     retry_share: float
     retry_burst: float
 
@@ -146,10 +161,17 @@
             self._directory, sources.decode_endpoint, reactor, self._log
         )
         self._followers = [
-            following.Follower(topic, copy, reactor, self._rng, self._log)
-            for topic, copy in (
-                (sources.configuration, self._configuration),
-                (sources.endpoints, self._endpoints),
+            following.Follower(
+                topic,
+                copy,
+                functools.partial(self._poll_s, bound_s * _STEP_SHARE),
+                reactor,
+                self._rng,
+                self._log,
+            )
+            for topic, copy, bound_s in (
+                (sources.configuration, self._configuration, settings.apply_s),
+                (sources.endpoints, self._endpoints, settings.leaving_s),
             )
         ]
         self._endpoints.follower = self._followers[1]
@@ -167,20 +189,22 @@
             identifiers.new_incarnation(),
             self._board,
             self._placer.load,
+            knowledge.Copies(self._configuration, self._followers, reactor),
             self._placer.fill_all,
             reactor,
             self._log,
         )
         self._registry = sources.registry
+        self._budgets = retries.BudgetsByService(
+            settings.retry_share * _RETRY_SHARE, self._retry_burst()
+        )
         self._tools = forwarding.Tools(
             reactor=reactor,
             dialect=sources.dialect,
             directory=self._directory,
             pool=self._pool,
             placer=self._placer,
-            budgets=retries.BudgetsByService(
-                settings.retry_share, settings.retry_burst
-            ),
+            budgets=self._budgets,
             zone=settings.zone,
             log=self._log,
         )
@@ -188,6 +212,8 @@
         self._in_work = 0
         self._drain_s: float | None = None
         self._listening: list[Any] = []
+        self._confirming = task.LoopingCall(self._confirm)
+        self._confirming.clock = reactor
         self._ticker = task.LoopingCall(self._tick)
         self._ticker.clock = reactor
         self.life = lifecycle.LifeCycle(
@@ -222,6 +248,7 @@
             self._run(follower.run())
         self._run(self._meet_peers())
         self._ticker.start(_TICK_S, now=False)
+        self._confirming.start(_CONFIRM_S, now=False)
         self._log.info("started", zone=settings.zone)
 
     # Service of the life cycle.
@@ -249,8 +276,9 @@
             channel.close_idle()
         for follower in self._followers:
             follower.stop()
-        if self._ticker.running:
-            self._ticker.stop()
+        for repeating in (self._ticker, self._confirming):
+            if repeating.running:
+                repeating.stop()
         self._pool.close()
 
     # Handler of callers' requests.
@@ -401,6 +429,26 @@
         self._peers.tick()
         self._placer.fill_all()
 
+    def _poll_s(self, step_s: float, is_woken: bool) -> float:
+        return turns.wait_s(
+            step_s, self._peers.rank, self._peers.count, is_woken
+        )
+
+    def _confirm(self) -> None:
+        """Keeps the configuration confirmed, by the cheapest way first."""
+        freshness = self._configuration.freshness
+        now_s = self._reactor.seconds()
+        if self._configuration.current is None:
+            return
+        if freshness.should_ask(now_s):
+            self._peers.ask(self._followers[0].name)
+        if freshness.should_read(now_s):
+            self._followers[0].hurry()
+
+    def _retry_burst(self) -> float:
+        entries = self._peers.known_count or _ASSUMED_ENTRIES
+        return self._settings.retry_burst * _RETRY_BURST_SHARE / entries
+
     def _configuration_changed(
         self, configuration: routes.Configuration
     ) -> None:
@@ -426,6 +474,7 @@
                 )
                 await task.deferLater(self._reactor, delay_s)
         self._peers.introduce(members - {own})
+        self._budgets.set_burst(self._retry_burst())
 
     def _run(self, running: Any) -> None:
         defer.ensureDeferred(running).addErrback(self._task_failed)
--- a/libs/gateway/src/godwitdale_gateway/knowledge.py
+++ b/libs/gateway/src/godwitdale_gateway/knowledge.py
@@ -12,9 +12,9 @@
 # An endpoint that disappears this short a time after the store came back may
 # only have lapsed meanwhile.
 _SHAKEN_S = 3.0
-# Longest wait for a change of the list of endpoints: silence is shown by the
-# keep-alive probes of the connection, so a poll may take long.
-_ENDPOINT_POLL_S = 10.0
+# How long a poll may lag behind what another entry has read: they are all
+# woken together, and their answers arrive about together.
+_LAG_S = 0.05
 
 DecodeConfiguration = Callable[[bytes], routes.Configuration | None]
 DecodeEndpoint = Callable[[str, bytes], directory_lib.Endpoint | None]
@@ -75,10 +75,6 @@
         if self.current is not None:
             self.freshness.confirm(as_of_s)
 
-    def poll_s(self) -> float:
-        """Returns how long the next read may wait."""
-        return self.freshness.poll_s(self._clock.seconds())
-
     def _put(self, configuration: routes.Configuration) -> None:
         known = self.current
         if known is not None and configuration.version <= known.version:
@@ -127,10 +123,6 @@
         """Is told that the list was complete at a moment."""
         self._directory.expire(self._clock.seconds())
 
-    def poll_s(self) -> float:
-        """Returns how long the next read may wait."""
-        return _ENDPOINT_POLL_S
-
     def _take_item(self, item: following.Item) -> None:
         if item.value is None:
             self._drop(item.key)
@@ -165,3 +157,65 @@
             self._directory.lapse(endpoint_id, now_s)
         else:
             self._directory.remove(endpoint_id)
+
+
+class Copies:
+    """The copies that this entry keeps, as the other entries see them."""
+
+    def __init__(
+        self,
+        configuration: ConfigurationCopy,
+        followers: list[following.Follower],
+        reactor: Any,
+    ) -> None:
+        """Prepares.
+
+        Args:
+            configuration: The copy whose freshness counts.
+            followers: That of the configuration first.
+            reactor: The Twisted reactor.
+        """
+        self._configuration = configuration
+        self._followers = {each.name: each for each in followers}
+        self._configuration_topic = followers[0].name
+        self._reactor = reactor
+
+    def positions(self) -> dict[str, int]:
+        """Returns how far each topic has been read."""
+        return {
+            name: follower.position
+            for name, follower in self._followers.items()
+            if follower.position is not None
+        }
+
+    def told(self, positions: dict[str, int]) -> None:
+        """Is told how far another entry has read."""
+        for name, position in positions.items():
+            if self._is_behind(name, position):
+                self._reactor.callLater(_LAG_S, self._catch_up, name, position)
+
+    def age_s(self, topic: str) -> float:
+        """Returns how long ago a copy was certainly complete."""
+        if topic != self._configuration_topic:
+            return float("inf")
+        now_s = self._reactor.seconds()
+        return self._configuration.freshness.age_s(now_s)
+
+    def confirmed(self, topic: str, position: int, as_of_s: float) -> None:
+        """Is told by another entry how far a topic went at a moment."""
+        if topic != self._configuration_topic:
+            return
+        if self._is_behind(topic, position):
+            self._catch_up(topic, position)
+            return
+        self._configuration.confirm(as_of_s)
+
+    def _is_behind(self, name: str, position: int) -> bool:
+        follower = self._followers.get(name)
+        if follower is None or follower.position is None:
+            return False
+        return follower.position < position
+
+    def _catch_up(self, name: str, position: int) -> None:
+        if self._is_behind(name, position):
+            self._followers[name].hurry()
--- a/libs/gateway/src/godwitdale_gateway/peers.py
+++ b/libs/gateway/src/godwitdale_gateway/peers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from typing import Any
+from typing import Protocol
 
 import msgspec
 from twisted.internet import protocol
@@ -21,12 +22,19 @@
 _BURST_S = 1.0
 # Largest message; a datagram that is cut up is lost more often.
 MOST_BYTES = 1400
+# Entries that are asked at once how fresh their copy is.
+_ASKED = 2
+# Questions whose answers are still taken.
+_MOST_QUESTIONS = 8
+# Copies older than this are not told of; nobody can use them.
+_MOST_AGE_S = 60.0
+_NEVER_MS = 60_000
 # How often an entry introduces itself to one that has not answered yet.
 _INTRODUCTIONS = 5
 
 
-class Message(msgspec.Struct, frozen=True, array_like=True):
-    """What one entry tells the others.
+class LoadMessage(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """What one entry tells the others of its load.
 
     Attributes:
         sender: Name of this life of the entry.
@@ -34,6 +42,8 @@
         in_work: Requests in work by endpoint.
         heads: By service, the most urgent waiting requests: whether late,
             priority, and milliseconds until they are due.
+        positions: By topic, how far it has read, and how many milliseconds
+            ago that was certainly all there was.
         is_last: Whether the entry stops.
     """
 
@@ -41,12 +51,60 @@
     sequence: int
     in_work: dict[str, int]
     heads: dict[str, list[tuple[bool, int, int]]]
+    positions: dict[str, tuple[int, int]]
     is_last: bool = False
 
 
+class Question(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Asks another entry how fresh its copy of a topic is.
+
+    Attributes:
+        number: Comes back in the answer.
+        topic: Name of the topic.
+    """
+
+    number: int
+    topic: str
+
+
+class Confirmation(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Answers a question.
+
+    Attributes:
+        number: Of the question.
+        topic: Name of the topic.
+        position: How far the entry has read.
+        age_ms: How long ago that was certainly all there was.
+    """
+
+    number: int
+    topic: str
+    position: int
+    age_ms: int
+
+
+Message = LoadMessage | Question | Confirmation
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
 
+
+class Copies(Protocol):
+    """The copies of topics that this entry keeps."""
+
+    def positions(self) -> dict[str, int]:
+        """Returns how far each has been read."""
+
+    def told(self, positions: dict[str, int]) -> None:
+        """Is told how far another entry has read."""
+
+    def age_s(self, topic: str) -> float:
+        """Returns how long ago a copy was certainly complete."""
+
+    def confirmed(self, topic: str, position: int, as_of_s: float) -> None:
+        """Is told by another entry how far a topic went at a moment."""
+
+
 OwnLoad = Callable[[], tuple[dict[str, int], dict[str, list[waiting.Urgency]]]]
 
 
@@ -60,6 +118,7 @@
         name: str,
         board: sharing.LoadBoard,
         own_load: OwnLoad,
+        copies: Copies,
         changed: Callable[[], None],
         reactor: Any,
         log: logs.EventLog,
@@ -70,6 +129,7 @@
             name: Name of this life of the entry.
             board: Takes the load of the others.
             own_load: Returns the load of this entry.
+            copies: What this entry has read of the store.
             changed: Called when the load of another has changed.
             reactor: The Twisted reactor.
             log: The log of decisions.
@@ -77,11 +137,18 @@
         self._name = name
         self._board = board
         self._own_load = own_load
+        self._copies = copies
+        self._told: dict[
+            pool_lib.Address, tuple[float, dict[str, tuple[int, int]]]
+        ] = {}
+        self._questions: dict[int, float] = {}
+        self._question_number = 0
         self._on_change = changed
         self._reactor = reactor
         self._log = log
         self._sequence = 0
         self._known: dict[pool_lib.Address, int] = {}
+        self._is_introduced = False
         self._heard: dict[pool_lib.Address, tuple[str, float]] = {}
         self._timer: Any = None
         self._told_s = 0.0
@@ -93,6 +160,7 @@
         Args:
             addresses: From the store; some may be gone.
         """
+        self._is_introduced = True
         for address in addresses:
             self._known.setdefault(address, _INTRODUCTIONS)
         self.changed()
@@ -105,6 +173,23 @@
         wait_s = max(_COLLECT_S, self._spent_until_s - now_s)
         self._timer = self._reactor.callLater(wait_s, self._tell)
 
+    @property
+    def rank(self) -> int:
+        """Place of this entry among those that are heard of, from 0."""
+        return sum(1 for peer, _ in self._heard.values() if peer < self._name)
+
+    @property
+    def count(self) -> int:
+        """Entries that are heard of, this one included."""
+        return len(self._heard) + 1
+
+    @property
+    def known_count(self) -> int | None:
+        """Entries that the store lists, gone ones included, or None."""
+        if not self._is_introduced:
+            return None
+        return len(self._known | dict.fromkeys(self._heard, 0)) + 1
+
     def tick(self) -> None:
         """Sends a heartbeat where nothing else was sent, and forgets."""
         now_s = self._reactor.seconds()
@@ -113,6 +198,7 @@
         for address, (peer, heard_s) in list(self._heard.items()):
             if now_s - heard_s > sharing.SILENCE_S:
                 del self._heard[address]
+                self._told.pop(address, None)
                 self._log.info("peer_silent", peer=peer)
         self._board.expire(now_s)
 
@@ -130,16 +216,82 @@
         except msgspec.MsgspecError as fault:
             self._log.info("peer_unreadable", peer=addr[0], detail=str(fault))
             return
+        address = pool_lib.Address(addr[0], addr[1])
+        if isinstance(message, LoadMessage):
+            self._take_load(address, message)
+        elif isinstance(message, Question):
+            self._answer(address, message)
+        else:
+            self._take_confirmation(message)
+
+    def ask(self, topic: str) -> bool:
+        """Asks other entries how fresh their copy of a topic is.
+
+        Args:
+            topic: Name of the topic.
+
+        Returns:
+            Whether there was anyone to ask.
+        """
+        targets = sorted(
+            self._heard, key=lambda each: -self._as_of(each, topic)
+        )
+        if not targets:
+            return False
+        self._question_number += 1
+        self._questions[self._question_number] = self._reactor.seconds()
+        for number in list(self._questions)[:-_MOST_QUESTIONS]:
+            del self._questions[number]
+        question = _encoder.encode(Question(self._question_number, topic))
+        for address in targets[:_ASKED]:
+            self.transport.write(question, (address.host, address.port))
+        return True
+
+    def _as_of(self, address: pool_lib.Address, topic: str) -> float:
+        """Returns about when an entry's copy was confirmed; only a hint."""
+        told_s, positions = self._told.get(address, (0.0, {}))
+        _, age_ms = positions.get(topic, (0, _NEVER_MS))
+        return told_s - age_ms / 1000
+
+    def _answer(self, address: pool_lib.Address, question: Question) -> None:
+        age_s = self._copies.age_s(question.topic)
+        position = self._copies.positions().get(question.topic)
+        if position is None or age_s > _MOST_AGE_S:
+            return
+        answer = Confirmation(
+            question.number, question.topic, position, _milliseconds(age_s)
+        )
+        data = _encoder.encode(answer)
+        self.transport.write(data, (address.host, address.port))
+
+    def _take_confirmation(self, answer: Confirmation) -> None:
+        """Takes over what another entry knows.
+
+        The answer was made after the question was sent, so that its age
+        counts from then at the latest.
+        """
+        asked_s = self._questions.get(answer.number)
+        if asked_s is not None:
+            self._copies.confirmed(
+                answer.topic, answer.position, asked_s - answer.age_ms / 1000
+            )
+
+    def _take_load(
+        self, address: pool_lib.Address, message: LoadMessage
+    ) -> None:
         if message.sender == self._name:
             return
         now_s = self._reactor.seconds()
-        address = pool_lib.Address(addr[0], addr[1])
         if message.is_last:
             self._heard.pop(address, None)
             self._board.drop(message.sender)
             self._on_change()
             return
         self._note(address, message.sender, now_s)
+        self._told[address] = (now_s, message.positions)
+        self._copies.told(
+            {topic: at for topic, (at, _) in message.positions.items()}
+        )
         if self._board.put(message.sender, _load(message, now_s), now_s):
             self._on_change()
 
@@ -178,7 +330,17 @@
             ]
             for service, urgencies in heads.items()
         }
-        message = Message(self._name, self._sequence, in_work, told, is_last)
+        message = LoadMessage(
+            self._name,
+            self._sequence,
+            in_work,
+            told,
+            {
+                topic: (position, _milliseconds(self._copies.age_s(topic)))
+                for topic, position in self._copies.positions().items()
+            },
+            is_last,
+        )
         data = _encoder.encode(message)
         if len(data) > MOST_BYTES:
             self._log.warning("load_too_large", size=len(data))
@@ -201,7 +363,11 @@
         return targets
 
 
-def _load(message: Message, now_s: float) -> sharing.Load:
+def _milliseconds(age_s: float) -> int:
+    return min(_NEVER_MS, int(min(age_s, _MOST_AGE_S) * 1000) + 1)
+
+
+def _load(message: LoadMessage, now_s: float) -> sharing.Load:
     heads = {
         service: tuple(
             waiting.Urgency(is_late, priority, now_s + due_ms / 1000)
--- a/libs/routing/src/godwitdale_routing/freshness.py
+++ b/libs/routing/src/godwitdale_routing/freshness.py
@@ -5,13 +5,12 @@
 certainly the newest, and refuses keyed work once that lies too far back.
 """
 
-# Share of the bound within which the next confirmation is due.
-_DUE_SHARE = 0.75
-# Longest share of the bound that one long poll may take.
-_POLL_SHARE = 0.5
+# Shares of the bound after which another entry is asked to confirm the copy,
+# and after which the store is asked itself.
+_ASK_SHARE = 0.35
+_READ_SHARE = 0.6
 # Kept between the age at which keyed work is refused and the bound.
 _MARGIN_SHARE = 0.06
-_LEAST_POLL_S = 0.1
 
 
 class Freshness:
@@ -36,7 +35,9 @@
 
         A long poll that came back empty confirms the moment at which it was
         sent plus the time that the store was asked to wait; any other answer
-        only the moment at which it was asked for.
+        only the moment at which it was asked for. What another entry confirms
+        counts from the moment at which that entry was asked, less the age of
+        its own copy.
 
         Args:
             as_of_s: The moment.
@@ -54,22 +55,10 @@
         """Tells whether keys may be accepted."""
         return self.age_s(now_s) <= self._bound_s * (1 - _MARGIN_SHARE)
 
-    def is_doubtful(self, now_s: float, apply_s: float) -> bool:
-        """Tells whether a change may have been missed that is due by now.
+    def should_ask(self, now_s: float) -> bool:
+        """Tells whether it is time to ask another entry."""
+        return self.age_s(now_s) > self._bound_s * _ASK_SHARE
 
-        Args:
-            now_s: The present time.
-            apply_s: Time within which a change has to be in force.
-        """
-        return self.age_s(now_s) > self._bound_s * _DUE_SHARE + apply_s / 2
-
-    def poll_s(self, now_s: float) -> float:
-        """Returns how long the next long poll may wait.
-
-        An answer with changes confirms less than an empty one, so the poll
-        after it is shorter.
-        """
-        age_s = self.age_s(now_s)
-        due_s = self._bound_s * _DUE_SHARE - age_s
-        most_s = self._bound_s * _POLL_SHARE
-        return max(_LEAST_POLL_S, min(most_s, due_s))
+    def should_read(self, now_s: float) -> bool:
+        """Tells whether it is time to ask the store."""
+        return self.age_s(now_s) > self._bound_s * _READ_SHARE
--- a/libs/routing/src/godwitdale_routing/retries.py
+++ b/libs/routing/src/godwitdale_routing/retries.py
@@ -28,6 +28,11 @@
         """Takes over a newly declared share."""
         self._share = share
 
+    def set_burst(self, most: float) -> None:
+        """Changes how many retries may be saved up."""
+        self._tokens = min(most, self._tokens + max(0.0, most - self._most))
+        self._most = most
+
     def request(self) -> None:
         """Notes one request of a caller."""
         self._tokens = min(self._most, self._tokens + self._share)
@@ -71,6 +76,12 @@
         self._most = most
         self._budgets: dict[str, RetryBudget] = {}
 
+    def set_burst(self, most: float) -> None:
+        """Changes how many retries each service may save up."""
+        self._most = most
+        for budget in self._budgets.values():
+            budget.set_burst(most)
+
     def of(self, service: str) -> RetryBudget:
         """Returns the budget of a service."""
         budget = self._budgets.get(service)
