--- a/libs/gateway/src/godwitdale_gateway/gateway.py
+++ b/libs/gateway/src/godwitdale_gateway/gateway.py
@@ -326,7 +326,7 @@
             self._drain_s is None
             and self._endpoints.is_complete
             and self._configuration.current is not None
-            and self._configuration.freshness.is_fresh(now_s)
+            and self._configuration.freshness.is_confirmed(now_s)
         )
 
     def _allow(
--- a/libs/gateway/src/godwitdale_gateway/placing.py
+++ b/libs/gateway/src/godwitdale_gateway/placing.py
@@ -19,6 +19,8 @@
 # Times that are assumed of a service before any answer has been seen.
 _FIRST_S = 0.15
 _WHOLE_S = 1.0
+# Passes from sending a request to its first event, prompt included.
+_PASSES_TO_FIRST = 1.9
 # When a service without endpoints is worth another try: about one interval in
 # which the store learns of a new endpoint.
 _NO_ENDPOINT_RETRY_S = 0.5
@@ -64,6 +66,7 @@
     line: waiting.Line[Seeker]
     concurrency: concurrency_lib.Concurrency | None = None
     gap_objective_s: float | None = None
+    surplus_s: float = 0.0
 
 
 class Placer:
@@ -134,6 +137,8 @@
         entries = self._directory.of_service(name)
         running = sum(self._taken(entry) for entry in entries)
         service.concurrency.observe(gap_s, running, objective_s)
+        pass_s = service.concurrency.pass_s(running)
+        service.pace.first_s = pass_s * _PASSES_TO_FIRST
 
     def submit(self, seeker: Seeker) -> None:
         """Places a request, lets it wait, or refuses it."""
@@ -225,11 +230,17 @@
 
     def _has_turn(self, name: str, own: waiting.Urgency, now_s: float) -> bool:
         heads = self._board.heads(name, now_s)
-        return waiting.may_take_place(own, heads, self._free_places(name))
-
-    def _free_places(self, name: str) -> int:
-        """Returns the places that are free within the limit of the service."""
         entries = self._directory.of_service(name)
+        free = self._free_places(name, entries)
+        kept = waiting.reserve(self._limit(name, entries))
+        if free > kept:
+            self._service(name).surplus_s = now_s
+        return waiting.may_take_place(own, heads, free, kept)
+
+    def _free_places(
+        self, name: str, entries: list[directory_lib.Entry]
+    ) -> int:
+        """Returns the places that are free within the limit of the service."""
         free = sum(self._free(entry) for entry in entries)
         taken = sum(self._taken(entry) for entry in entries)
         return min(free, self._limit(name, entries) - taken)
@@ -287,13 +298,14 @@
             )
         places = self._limit(name, entries)
         turn_s = service.pace.turn_s(places)
+        surplus_s = now_s - service.surplus_s
         others = self._board.heads(name, now_s)
         others += [
             each
             for each, item in service.line.order(service.pace, now_s)
             if item is not seeker
         ]
-        if waiting.may_wait(own, others, turn_s, now_s):
+        if waiting.may_wait(own, others, turn_s, surplus_s, now_s):
             return None
         room_s = max(_LEAST_RETRY_S, service.pace.whole_s / 2)
         return outcomes.not_run(
--- a/libs/routing/src/godwitdale_routing/freshness.py
+++ b/libs/routing/src/godwitdale_routing/freshness.py
@@ -9,6 +9,9 @@
 # and after which the store is asked itself.
 _ASK_SHARE = 0.35
 _READ_SHARE = 0.6
+# Share after which new callers are better off at another entry: both ways of
+# confirming have failed by then, and keys will soon be refused.
+_READY_SHARE = 0.7
 # Kept between the age at which keyed work is refused and the bound.
 _MARGIN_SHARE = 0.06
 
@@ -62,3 +65,7 @@
     def should_read(self, now_s: float) -> bool:
         """Tells whether it is time to ask the store."""
         return self.age_s(now_s) > self._bound_s * _READ_SHARE
+
+    def is_confirmed(self, now_s: float) -> bool:
+        """Tells whether new callers are welcome."""
+        return self.age_s(now_s) <= self._bound_s * _READY_SHARE
--- a/libs/routing/src/godwitdale_routing/waiting.py
+++ b/libs/routing/src/godwitdale_routing/waiting.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import math
 from typing import Generic
 from typing import TypeVar
 
@@ -16,6 +17,11 @@
 # Share of all turns that requests which have lost their objective may count
 # on; the others go to requests that can still meet theirs.
 _LATE_SHARE = 0.25
+# Share of the places that is kept from late requests.
+_RESERVE_SHARE = 0.04
+# Late requests wait only where there were places to spare this short a time
+# ago; overload that lasts longer leaves none for them.
+_SURPLUS_S = 1.0
 # Weight of the newest observation in smoothed times.
 _EWMA_WEIGHT = 0.1
 # Room between the mean time to a first part and what is planned for: nine in
@@ -109,6 +115,7 @@
     own: Urgency,
     others: Iterable[Urgency],
     turn_s: float,
+    since_surplus_s: float,
     now_s: float,
 ) -> bool:
     """Tells whether a request has any hope of a place in time.
@@ -117,16 +124,31 @@
         own: How urgent it is.
         others: All other requests that wait, at every entry.
         turn_s: Time between two places that become free.
+        since_surplus_s: Time since there were places to spare.
         now_s: The present time.
     """
     left_s = own.due_s - now_s
     if not own.is_late:
         ahead = sum(1 for each in others if each < own)
         return (ahead + 1) * turn_s <= left_s
+    if since_surplus_s > _SURPLUS_S:
+        return False
     ahead = sum(1 for each in others if each.is_late and each < own)
     return (ahead + 1) * turn_s <= left_s * _LATE_SHARE
 
 
+def reserve(places: int) -> int:
+    """Returns how many places are kept from late requests.
+
+    A place that stays free until the next request arrives costs little; a
+    late request in it would cost one its objective for as long as it runs.
+
+    Args:
+        places: Requests that the service may run at once.
+    """
+    return math.ceil(places * _RESERVE_SHARE)
+
+
 def as_of(told: Urgency, now_s: float) -> Urgency:
     """Returns how urgent a request is that was told some time ago.
 
@@ -176,7 +198,10 @@
 
 
 def may_take_place(
-    own: Urgency, heads_elsewhere: Iterable[Urgency], free_places: int
+    own: Urgency,
+    heads_elsewhere: Iterable[Urgency],
+    free_places: int,
+    kept_places: int = 0,
 ) -> bool:
     """Tells whether a free place falls to a request of this entry.
 
@@ -187,6 +212,8 @@
         own: The most urgent request here.
         heads_elsewhere: The most urgent requests of the other entries.
         free_places: Places that are free as far as is known.
+        kept_places: Places that late requests leave free.
     """
     ahead = sum(1 for each in heads_elsewhere if each < own)
-    return free_places > ahead
+    kept = kept_places if own.is_late else 0
+    return free_places - kept > ahead
--- a/tests/unit/test_waiting.py
+++ b/tests/unit/test_waiting.py
@@ -34,15 +34,16 @@
     own = waiting.urgency(ticket(0.0), pace, 0.0)
     ahead = [waiting.Urgency(False, 0, 0.01)]
     turn_s = pace.turn_s(PLACES)
-    assert waiting.may_wait(own, ahead, turn_s, 0.0)
-    assert not waiting.may_wait(own, ahead * 3, turn_s, 0.0)
+    assert waiting.may_wait(own, ahead, turn_s, 0.0, 0.0)
+    assert not waiting.may_wait(own, ahead * 3, turn_s, 0.0, 0.0)
 
 
 def test_late_requests_count_only_on_a_share_of_the_turns():
     own = waiting.Urgency(True, 0, 1.0)
     ahead = [waiting.Urgency(True, 0, 0.5)]
-    assert waiting.may_wait(own, ahead, 0.1, 0.0)
-    assert not waiting.may_wait(own, ahead * 2, 0.1, 0.0)
+    assert waiting.may_wait(own, ahead, 0.1, 0.0, 0.0)
+    assert not waiting.may_wait(own, ahead * 2, 0.1, 0.0, 0.0)
+    assert not waiting.may_wait(own, ahead, 0.1, 5.0, 0.0)
 
 
 @pytest.mark.parametrize(
@@ -57,6 +58,15 @@
     assert waiting.may_take_place(own, elsewhere, free) is takes
 
 
+def test_late_requests_leave_places_to_those_that_can_be_on_time():
+    late = waiting.Urgency(True, 0, 0.5)
+    fresh = waiting.Urgency(False, 0, 0.5)
+    kept = waiting.reserve(50)
+    assert not waiting.may_take_place(late, [], kept, kept)
+    assert waiting.may_take_place(late, [], kept + 1, kept)
+    assert waiting.may_take_place(fresh, [], 1, kept)
+
+
 class Replay:
     """One service with a fixed number of places, on a virtual clock."""
 
@@ -87,7 +97,9 @@
             urgency = waiting.urgency(own, self.pace, now_s)
             turn_s = self.pace.turn_s(PLACES)
             is_full = len(self.ends_s) >= PLACES
-            if is_full and not waiting.may_wait(urgency, others, turn_s, now_s):
+            if is_full and not waiting.may_wait(
+                urgency, others, turn_s, 0.0, now_s
+            ):
                 return
         self.line.add(at_s, own)
 
