--- a/libs/http/src/godwitdale_http/callers.py
+++ b/libs/http/src/godwitdale_http/callers.py
@@ -288,6 +288,9 @@
         self._bounds = self._handler.bounds()
         self._received_s = self._clock.seconds()
         self._request = request
+        if _head_bytes(request) > self._bounds.head_bytes:
+            self._reject(431, "the head is too large")
+            return
         names = [name for name, _ in request.headers]
         if b"transfer-encoding" in names and b"content-length" in names:
             self._reject(400, "a body has either a length or chunks")
@@ -375,6 +378,16 @@
             self._close()
 
 
+def _head_bytes(request: h11.Request) -> int:
+    """Returns the size of a head; h11 bounds only one that is incomplete."""
+    size = len(request.method) + len(request.target) + len(b"  HTTP/1.1\r\n")
+    size += sum(
+        len(name) + len(value) + len(b": \r\n")
+        for name, value in request.headers
+    )
+    return size + len(b"\r\n")
+
+
 class _Nothing:
     """Stands for work whose handler has not returned yet."""
 
--- a/libs/process/src/godwitdale_process/lifecycle.py
+++ b/libs/process/src/godwitdale_process/lifecycle.py
@@ -112,6 +112,7 @@
     core.ready()
 
 
+@_starting.upon(Inputs.stop).to(_draining)
 @_ready.upon(Inputs.stop).to(_draining)
 def _on_stop(inputs: Inputs, core: _Core) -> None:
     core.drained = inputs.drained
@@ -126,7 +127,6 @@
 
 @_draining.upon(Inputs.drained).to(_stopped)
 @_cutting.upon(Inputs.drained).to(_stopped)
-@_starting.upon(Inputs.stop).to(_stopped)
 def _on_drained(inputs: Inputs, core: _Core) -> None:
     core.stop_now()
 
