Spread starts over the passes by the prompts that they read

Change: entries tell the prompt tokens that they sent; a place is free only if the next pass stays within the objective with the prompts that it has to read; the model learns from pauses less the reading, and leaves room for their deviation.

--- a/libs/gateway/src/godwitdale_gateway/gateway.py
+++ b/libs/gateway/src/godwitdale_gateway/gateway.py
@@ -428,6 +428,7 @@
         self._pool.sweep()
         self._peers.tick()
         self._placer.fill_all()
+        self._placer.describe()
 
     def _poll_s(self, step_s: float, is_woken: bool) -> float:
         return turns.wait_s(
--- a/libs/gateway/src/godwitdale_gateway/peers.py
+++ b/libs/gateway/src/godwitdale_gateway/peers.py
@@ -1,6 +1,7 @@
 """Datagrams in which the entries tell each other about their load."""
 
 from collections.abc import Callable
+import dataclasses
 from typing import Any
 from typing import Protocol
 
@@ -44,6 +45,7 @@
             priority, and milliseconds until they are due.
         positions: By topic, how far it has read, and how many milliseconds
             ago that was certainly all there was.
+        started: Prompt tokens sent in this life, by service.
         is_last: Whether the entry stops.
     """
 
@@ -52,6 +54,7 @@
     in_work: dict[str, int]
     heads: dict[str, list[tuple[bool, int, int]]]
     positions: dict[str, tuple[int, int]]
+    started: dict[str, int]
     is_last: bool = False
 
 
@@ -105,7 +108,22 @@
         """Is told by another entry how far a topic went at a moment."""
 
 
-OwnLoad = Callable[[], tuple[dict[str, int], dict[str, list[waiting.Urgency]]]]
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnLoad:
+    """What an entry has to tell.
+
+    Attributes:
+        in_work: Requests in work by endpoint.
+        heads: Most urgent waiting requests by service.
+        started: Prompt tokens sent in this life, by service.
+    """
+
+    in_work: dict[str, int]
+    heads: dict[str, list[waiting.Urgency]]
+    started: dict[str, int]
+
+
+_NO_LOAD = OwnLoad({}, {}, {})
 
 
 class Peers(protocol.DatagramProtocol):
@@ -117,7 +135,7 @@
         self,
         name: str,
         board: sharing.LoadBoard,
-        own_load: OwnLoad,
+        own_load: Callable[[], OwnLoad],
         copies: Copies,
         changed: Callable[[], None],
         reactor: Any,
@@ -205,7 +223,7 @@
     def leave(self) -> None:
         """Tells the others that this entry stops."""
         if self.transport is not None:
-            self._send({}, {}, is_last=True)
+            self._send(_NO_LOAD, is_last=True)
 
     def datagramReceived(  # noqa: N802
         self, datagram: bytes, addr: tuple[str, int]
@@ -311,15 +329,9 @@
 
     def _tell(self) -> None:
         self._timer = None
-        in_work, heads = self._own_load()
-        self._send(in_work, heads, is_last=False)
+        self._send(self._own_load(), is_last=False)
 
-    def _send(
-        self,
-        in_work: dict[str, int],
-        heads: dict[str, list[waiting.Urgency]],
-        is_last: bool,
-    ) -> None:
+    def _send(self, load: OwnLoad, is_last: bool) -> None:
         now_s = self._reactor.seconds()
         self._sequence += 1
         self._told_s = now_s
@@ -328,17 +340,18 @@
                 (each.is_late, each.priority, int((each.due_s - now_s) * 1000))
                 for each in urgencies
             ]
-            for service, urgencies in heads.items()
+            for service, urgencies in load.heads.items()
         }
         message = LoadMessage(
             self._name,
             self._sequence,
-            in_work,
+            load.in_work,
             told,
             {
                 topic: (position, _milliseconds(self._copies.age_s(topic)))
                 for topic, position in self._copies.positions().items()
             },
+            load.started,
             is_last,
         )
         data = _encoder.encode(message)
@@ -375,4 +388,6 @@
         )
         for service, told in message.heads.items()
     }
-    return sharing.Load(message.sequence, message.in_work, heads)
+    return sharing.Load(
+        message.sequence, message.in_work, heads, message.started
+    )
--- a/libs/gateway/src/godwitdale_gateway/placing.py
+++ b/libs/gateway/src/godwitdale_gateway/placing.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from godwitdale_gateway import directory as directory_lib
+from godwitdale_gateway import peers
 from godwitdale_observe import logs
 from godwitdale_routing import choice
 from godwitdale_routing import concurrency as concurrency_lib
@@ -19,6 +20,9 @@
 # Times that are assumed of a service before any answer has been seen.
 _FIRST_S = 0.15
 _WHOLE_S = 1.0
+# Events of two streams belong to the same pass if they come closer together
+# than this share of the pause.
+_SAME_PASS_SHARE = 0.5
 # Passes from sending a request to its first event, prompt included.
 _PASSES_TO_FIRST = 1.9
 # When a service without endpoints is worth another try: about one interval in
@@ -67,6 +71,8 @@
     concurrency: concurrency_lib.Concurrency | None = None
     gap_objective_s: float | None = None
     surplus_s: float = 0.0
+    pass_ended_s: float = 0.0
+    started: int = 0
 
 
 class Placer:
@@ -116,29 +122,38 @@
         for name, engine in engines.items():
             service = self._service(name)
             if service.concurrency is None and engine.step_s > 0:
-                steps = engine.steps_per_pass
                 service.concurrency = concurrency_lib.Concurrency(
-                    steps * engine.step_s,
-                    steps * engine.step_per_request_s / max(1, engine.slots),
+                    _declared(engine)
                 )
 
     def paused(self, name: str, gap_s: float, objective_s: float) -> None:
         """Takes a pause between two events of a stream into account.
 
+        All ranks of a group end a pass together, so that events that come
+        together are seen as one pass.
+
         Args:
             name: Name of the service.
             gap_s: The pause.
             objective_s: Longest pause that is on time.
         """
         service = self._service(name)
+        now_s = self._reactor.seconds()
         if service.concurrency is None:
             return
         service.gap_objective_s = objective_s
+        if now_s - service.pass_ended_s < gap_s * _SAME_PASS_SHARE:
+            return
+        service.pass_ended_s = now_s
         entries = self._directory.of_service(name)
         running = sum(self._taken(entry) for entry in entries)
-        service.concurrency.observe(gap_s, running, objective_s)
+        tokens = self._board.tokens_between(
+            name, now_s - 2 * gap_s, now_s - gap_s
+        )
+        service.concurrency.observe(gap_s, running, tokens, objective_s)
         pass_s = service.concurrency.pass_s(running)
         service.pace.first_s = pass_s * _PASSES_TO_FIRST
+        self.fill(name)
 
     def submit(self, seeker: Seeker) -> None:
         """Places a request, lets it wait, or refuses it."""
@@ -175,7 +190,7 @@
             return
         now_s = self._reactor.seconds()
         for own, seeker in service.line.order(service.pace, now_s):
-            if not self._has_turn(name, own, now_s):
+            if not self._has_turn(seeker, own, now_s):
                 return
             if self._candidates(seeker, now_s):
                 self._disarm(seeker)
@@ -187,7 +202,26 @@
         for name in list(self._services):
             self.fill(name)
 
-    def load(self) -> tuple[dict[str, int], dict[str, list[waiting.Urgency]]]:
+    def describe(self) -> None:
+        """Logs what decides on places in each service that is in use."""
+        for name, service in self._services.items():
+            entries = self._directory.of_service(name)
+            running = sum(self._taken(entry) for entry in entries)
+            if running == 0 or service.concurrency is None:
+                continue
+            self._log.info(
+                "service_load",
+                service=name,
+                running=running,
+                limit=self._limit(name, entries),
+                slots=sum(entry.endpoint.slots for entry in entries),
+                pass_s=round(service.concurrency.pass_s(running), 4),
+                idle_pass_s=round(service.concurrency.pass_s(0), 4),
+                whole_s=round(service.pace.whole_s, 3),
+                waiting=len(service.line),
+            )
+
+    def load(self) -> peers.OwnLoad:
         """Returns what the other entries have to know."""
         now_s = self._reactor.seconds()
         in_work = {
@@ -205,7 +239,12 @@
             for name, service in self._services.items()
             if len(service.line)
         }
-        return in_work, heads
+        started = {
+            name: service.started
+            for name, service in self._services.items()
+            if service.started
+        }
+        return peers.OwnLoad(in_work, heads, started)
 
     def _service(self, name: str) -> _Service:
         service = self._services.get(name)
@@ -228,29 +267,57 @@
         )
         return [entry for entry in usable if self._free(entry)]
 
-    def _has_turn(self, name: str, own: waiting.Urgency, now_s: float) -> bool:
+    def _has_turn(
+        self, seeker: Seeker, own: waiting.Urgency, now_s: float
+    ) -> bool:
+        name = seeker.want.service
         heads = self._board.heads(name, now_s)
         entries = self._directory.of_service(name)
-        free = self._free_places(name, entries)
+        prompt_tokens = seeker.want.ask.prompt_tokens
+        free = self._free_places(name, entries, prompt_tokens, now_s)
         kept = waiting.reserve(self._limit(name, entries))
         if free > kept:
             self._service(name).surplus_s = now_s
         return waiting.may_take_place(own, heads, free, kept)
 
     def _free_places(
-        self, name: str, entries: list[directory_lib.Entry]
+        self,
+        name: str,
+        entries: list[directory_lib.Entry],
+        prompt_tokens: int,
+        now_s: float,
     ) -> int:
-        """Returns the places that are free within the limit of the service."""
+        """Returns the places that are free within the limit of the service.
+
+        Args:
+            name: Name of the service.
+            entries: Its endpoints.
+            prompt_tokens: Length of the prompt that would come.
+            now_s: The present time.
+        """
         free = sum(self._free(entry) for entry in entries)
         taken = sum(self._taken(entry) for entry in entries)
-        return min(free, self._limit(name, entries) - taken)
-
-    def _limit(self, name: str, entries: list[directory_lib.Entry]) -> int:
+        service = self._service(name)
+        tokens = 0.0
+        if service.concurrency is not None:
+            # An entry without a stream of its own sees no pass end.
+            pass_s = service.concurrency.pass_s(taken)
+            since_s = max(service.pass_ended_s, now_s - pass_s)
+            tokens = service.concurrency.counted_tokens(prompt_tokens)
+            tokens += self._board.tokens_between(name, since_s, now_s)
+        return min(free, self._limit(name, entries, tokens) - taken)
+
+    def _limit(
+        self,
+        name: str,
+        entries: list[directory_lib.Entry],
+        tokens: float = 0.0,
+    ) -> int:
         service = self._service(name)
         slots = sum(entry.endpoint.slots for entry in entries)
         if service.concurrency is None or service.gap_objective_s is None:
             return slots
-        return service.concurrency.limit(service.gap_objective_s, slots)
+        return service.concurrency.limit(service.gap_objective_s, slots, tokens)
 
     def _try_place(
         self, seeker: Seeker, own: waiting.Urgency, now_s: float
@@ -260,7 +327,7 @@
         ranked = service.line.order(service.pace, now_s)
         if ranked and ranked[0][0] < own:
             return False
-        if not self._has_turn(name, own, now_s):
+        if not self._has_turn(seeker, own, now_s):
             return False
         if not self._candidates(seeker, now_s):
             return False
@@ -280,6 +347,9 @@
         chosen = self._directory.get(tracked.name)
         assert chosen is not None
         chosen.tracked.sent += 1
+        prompt = seeker.want.ask.prompt_tokens
+        self._service(seeker.want.service).started += prompt
+        self._board.note_start(seeker.want.service, prompt, now_s)
         self._changed()
         seeker.placed(chosen)
 
@@ -340,3 +410,16 @@
             return
         service.line.remove(seeker)
         seeker.refused(refusal)
+
+
+def _declared(engine: routes.Engine) -> concurrency_lib.Declared:
+    per_request_s = engine.steps_per_pass * engine.step_per_request_s
+    reads_per_s = engine.prefill_tokens_per_s
+    return concurrency_lib.Declared(
+        base_s=engine.steps_per_pass * engine.step_s,
+        per_request_s=per_request_s,
+        even_share=1 / max(1, engine.slots),
+        own_share=1 - engine.expert_share,
+        per_token_s=1 / reads_per_s if reads_per_s > 0 else 0.0,
+        usual_tokens=engine.usual_prompt_tokens,
+    )
--- a/libs/routing/src/godwitdale_routing/concurrency.py
+++ b/libs/routing/src/godwitdale_routing/concurrency.py
@@ -5,18 +5,30 @@
 Past some number the pauses between events exceed the objective, and all the
 streams in progress are late at once.
 
-A pass takes a time of its own and a time for each request that is writing. Both
-are learnt from the pauses that the entry sees: the second depends on which
-experts are in demand, the first on the slowest rank. Where the first alone
-exceeds the objective, a limit would gain nothing.
+A pass takes a time of its own, a time for each request that is writing, and a
+time for the prompts that are read in it. The first two are learnt from the
+pauses that the entry sees: the second depends on which experts are in demand,
+the first on the slowest rank. Where the first alone exceeds the objective, a
+limit would gain nothing.
+
+Many prompts that arrive within one pass are the other way to a long pause, so
+that starts are spread over the passes.
 """
 
+import dataclasses
+import math
+
 # What each pause weighs less than the one after it; an entry sees some tens of
 # them a second, so that a change shows within a second or two.
 _DECAY = 0.985
-# Share of the objective that a pass may take; the rest is for prompts that are
-# read between the steps, and for the way.
-_PASS_SHARE = 0.9
+# Share of the objective that a pass may take; the rest is for the way.
+_PASS_SHARE = 0.98
+# Standard deviations between the mean pass and that. One long pass makes every
+# stream in progress late, and some twenty passes go by while a stream lasts.
+_DEVIATIONS = 2.0
+# A prompt counts as at most this many usual ones, so that the longest get their
+# turn; one of them alone makes a pass little longer than several short ones.
+_MOST_PROMPTS = 1.5
 # Longer pauses count as this many objectives: a stall must not be remembered
 # for longer than it lasts.
 _OUTLIER = 6.0
@@ -25,51 +37,74 @@
 _LEAST_SHARE = 0.4
 # Weight, in pauses, of what is declared of an idle group.
 _DECLARED_WEIGHT = 1.0
+# Keeps what a writer adds above nothing where nothing is declared.
+_LEAST_S = 1e-6
 # How much more than an even spread of the experts each writer is taken to cost
 # before anything has been seen.
 _ASSUMED_IMBALANCE = 2.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Declared:
+    """What is declared of the engines of a service.
+
+    Attributes:
+        base_s: Time of a pass with no writers.
+        per_request_s: Time that a writer adds to a pass of the rank that it
+            runs on.
+        even_share: Share of that which the whole group takes where the experts
+            in demand are spread evenly.
+        own_share: Share of the work on tokens that only their own rank does.
+        per_token_s: Time to read a token of a prompt.
+        usual_tokens: Mean length of a prompt.
+    """
+
+    base_s: float
+    per_request_s: float
+    even_share: float = 0.0
+    own_share: float = 0.0
+    per_token_s: float = 0.0
+    usual_tokens: float = 0.0
+
+
 class Concurrency:
     """Learns the pause between events as a line over the running requests."""
 
     __slots__ = (
-        "_base_s",
-        "_even_s",
+        "_declared",
         "_weight",
         "_running",
         "_gap_s",
         "_running_running",
         "_running_gap_s",
+        "_gap_gap_s",
     )
 
-    def __init__(self, base_s: float, per_request_s: float) -> None:
-        """Starts from what is declared of the engines.
-
-        Args:
-            base_s: Time of a pass with no writers.
-            per_request_s: Time that each writer adds where the experts in
-                demand are spread evenly.
-        """
-        self._base_s = base_s
-        self._even_s = per_request_s
+    def __init__(self, declared: Declared) -> None:
+        """Starts from what is declared of the engines."""
+        self._declared = declared
         self._weight = 0.0
         self._running = 0.0
         self._gap_s = 0.0
         self._running_running = 0.0
         self._running_gap_s = 0.0
+        self._gap_gap_s = 0.0
 
-    def observe(self, gap_s: float, running: int, objective_s: float) -> None:
+    def observe(
+        self, gap_s: float, running: int, tokens: float, objective_s: float
+    ) -> None:
         """Takes a pause between two events into account.
 
         Args:
             gap_s: The pause.
             running: Requests in work at the service meanwhile.
+            tokens: Tokens of the prompts that were read in it.
             objective_s: Longest pause that is on time.
         """
         if running <= 0:
             return
         gap_s = min(gap_s, _OUTLIER * objective_s)
+        gap_s = max(self._declared.base_s, gap_s - self.reading_s(tokens))
         self._weight = self._weight * _DECAY + 1.0
         self._running = self._running * _DECAY + running
         self._gap_s = self._gap_s * _DECAY + gap_s
@@ -77,6 +112,7 @@
             self._running_running * _DECAY + running * running
         )
         self._running_gap_s = self._running_gap_s * _DECAY + running * gap_s
+        self._gap_gap_s = self._gap_gap_s * _DECAY + gap_s * gap_s
 
     def pass_s(self, running: int) -> float:
         """Returns how long a pass takes.
@@ -85,9 +121,29 @@
             running: Requests in work at the service.
         """
         base_s, per_request_s = self._line()
-        return base_s + per_request_s * max(1, running)
+        return base_s + per_request_s * running
 
-    def limit(self, objective_s: float, slots: int) -> int:
+    def reading_s(self, tokens: float) -> float:
+        """Returns how much longer prompts make the pass that reads them.
+
+        The group's part of a token is what a writer's part was learnt to be.
+
+        Args:
+            tokens: Tokens of the prompts.
+        """
+        declared = self._declared
+        if declared.per_request_s <= 0:
+            return 0.0
+        _, per_request_s = self._line()
+        share = min(1.0, per_request_s / declared.per_request_s)
+        return tokens * declared.per_token_s * (share + declared.own_share)
+
+    def counted_tokens(self, tokens: float) -> float:
+        """Returns how many tokens a prompt counts for a place."""
+        most = self._declared.usual_tokens * _MOST_PROMPTS
+        return min(tokens, most)
+
+    def limit(self, objective_s: float, slots: int, tokens: float = 0.0) -> int:
         """Returns how many requests may run at once.
 
         Where even few of them could not keep the pauses short, as beside a
@@ -96,10 +152,30 @@
         Args:
             objective_s: Longest pause that is on time.
             slots: Requests that the service could run.
+            tokens: Tokens of the prompts that the next pass has to read.
         """
         base_s, per_request_s = self._line()
-        most = int((objective_s * _PASS_SHARE - base_s) / per_request_s)
-        return slots if most < slots * _LEAST_SHARE else min(slots, most)
+        longest_s = objective_s * _PASS_SHARE
+        room_s = longest_s - _DEVIATIONS * self._deviation_s() - base_s
+        if room_s / per_request_s < slots * _LEAST_SHARE:
+            return slots
+        most = int((room_s - self.reading_s(tokens)) / per_request_s)
+        return max(0, min(slots, most))
+
+    def _deviation_s(self) -> float:
+        """Returns how far pauses lie from the line, as a standard deviation."""
+        if self._weight <= 0.0:
+            return 0.0
+        base_s, per_request_s = self._line()
+        squares = (
+            self._gap_gap_s
+            - 2 * base_s * self._gap_s
+            - 2 * per_request_s * self._running_gap_s
+            + base_s * base_s * self._weight
+            + 2 * base_s * per_request_s * self._running
+            + per_request_s * per_request_s * self._running_running
+        )
+        return math.sqrt(max(0.0, squares / self._weight))
 
     def _line(self) -> tuple[float, float]:
         """Returns the time of an empty pass and what each request adds.
@@ -107,12 +183,14 @@
         Least squares over the pauses and one made up of what is declared of
         an empty pass, which alone tells anything while the load is steady.
         """
+        declared = self._declared
+        even_s = max(_LEAST_S, declared.per_request_s * declared.even_share)
         if self._weight <= 0.0:
-            return self._base_s, self._even_s * _ASSUMED_IMBALANCE
+            return declared.base_s, even_s * _ASSUMED_IMBALANCE
         weight = self._weight + _DECLARED_WEIGHT
-        gap_s = self._gap_s + _DECLARED_WEIGHT * self._base_s
+        gap_s = self._gap_s + _DECLARED_WEIGHT * declared.base_s
         spread = self._running_running - self._running**2 / weight
         common = self._running_gap_s - self._running * gap_s / weight
-        slope_s = max(self._even_s, common / spread if spread > 0 else 0.0)
+        slope_s = max(even_s, common / spread if spread > 0 else 0.0)
         base_s = (gap_s - slope_s * self._running) / weight
-        return max(self._base_s, base_s), slope_s
+        return max(declared.base_s, base_s), slope_s
--- a/libs/routing/src/godwitdale_routing/routes.py
+++ b/libs/routing/src/godwitdale_routing/routes.py
@@ -131,6 +131,8 @@
         prefill_tokens_per_s: Prompt tokens that are read a second.
         prefill_chunk_tokens: Most prompt tokens in a step.
         steps_per_pass: Steps in a pass that has writers.
+        expert_share: Share of the work on tokens that goes to the experts of
+            all ranks of a group.
         usual_prompt_tokens: Mean length of a prompt.
         usual_answer_tokens: Mean length of an answer.
     """
@@ -142,6 +144,7 @@
     prefill_tokens_per_s: float = 0.0
     prefill_chunk_tokens: int = 0
     steps_per_pass: int = 1
+    expert_share: float = 0.0
     usual_prompt_tokens: float = 0.0
     usual_answer_tokens: float = 0.0
 
--- a/libs/routing/src/godwitdale_routing/sharing.py
+++ b/libs/routing/src/godwitdale_routing/sharing.py
@@ -5,6 +5,7 @@
 that is lost or late makes a choice worse, never wrong.
 """
 
+import collections
 from collections.abc import Mapping
 import dataclasses
 
@@ -13,6 +14,9 @@
 # An entry that has not been heard of for this long holds nothing any more;
 # three heartbeats fit in.
 SILENCE_S = 3.2
+# Starts that are remembered of each service; many more than begin within the
+# two passes for which they count.
+_MOST_STARTS = 64
 # Most urgent waiting requests that an entry tells, for each service.
 HEADS = 4
 
@@ -25,22 +29,26 @@
         sequence: Grows with each message of one life of the entry.
         in_work: Requests in work by endpoint.
         heads: Most urgent waiting requests by service.
+        started: By service, prompt tokens of all requests that it has sent in
+            its present life.
     """
 
     sequence: int
     in_work: Mapping[str, int]
     heads: Mapping[str, tuple[waiting.Urgency, ...]]
+    started: Mapping[str, int]
 
 
 class LoadBoard:
     """The newest load of every other entry."""
 
-    __slots__ = ("_loads", "_heard_s", "_totals")
+    __slots__ = ("_loads", "_heard_s", "_totals", "_starts")
 
     def __init__(self) -> None:
         self._loads: dict[str, Load] = {}
         self._heard_s: dict[str, float] = {}
         self._totals: dict[str, int] = {}
+        self._starts: dict[str, collections.deque[tuple[float, int]]] = {}
 
     def __len__(self) -> int:
         return len(self._loads)
@@ -58,11 +66,40 @@
             return False
         self._heard_s[peer] = now_s
         self._loads[peer] = load
+        if known is not None:
+            for service, tokens in load.started.items():
+                fresh = tokens - known.started.get(service, 0)
+                self.note_start(service, fresh, now_s)
         if known is not None and known.in_work == load.in_work:
             return known.heads != load.heads
         self._add_up()
         return True
 
+    def note_start(self, service: str, tokens: int, now_s: float) -> None:
+        """Notes that a prompt has been sent, here or by another entry.
+
+        Args:
+            service: Name of the service.
+            tokens: Length of the prompt.
+            now_s: The present time.
+        """
+        if tokens <= 0:
+            return
+        starts = self._starts.setdefault(
+            service, collections.deque(maxlen=_MOST_STARTS)
+        )
+        starts.append((now_s, tokens))
+
+    def tokens_between(
+        self, service: str, from_s: float, until_s: float
+    ) -> int:
+        """Returns the prompt tokens sent to a service within a time."""
+        return sum(
+            tokens
+            for at_s, tokens in self._starts.get(service, ())
+            if from_s < at_s <= until_s
+        )
+
     def drop(self, peer: str) -> None:
         """Forgets an entry that has said that it stops."""
         if self._loads.pop(peer, None) is not None:
--- a/tests/unit/test_concurrency.py
+++ b/tests/unit/test_concurrency.py
@@ -9,16 +9,23 @@
 OBJECTIVE_S = 0.12
 SLOTS = 72
 BASE_S = 0.03
-EVEN_S = 0.0006
+DECLARED = concurrency.Declared(
+    base_s=BASE_S,
+    per_request_s=0.0036,
+    even_share=1 / 6,
+    own_share=0.15,
+    per_token_s=1 / 61200,
+    usual_tokens=835,
+)
 
 
 def learnt(base_s, per_request_s, running, count=400, noise_s=0.002):
     rng = random.Random(3)
-    model = concurrency.Concurrency(BASE_S, EVEN_S)
+    model = concurrency.Concurrency(DECLARED)
     for _ in range(count):
         writers = rng.randint(*running)
         gap_s = base_s + per_request_s * writers + rng.gauss(0, noise_s)
-        model.observe(gap_s, writers, OBJECTIVE_S)
+        model.observe(gap_s, writers, 0, OBJECTIVE_S)
     return model
 
 
@@ -37,6 +44,20 @@
     assert limit > 0.75 * (OBJECTIVE_S - BASE_S) / per_request_s
 
 
+def test_pauses_that_vary_leave_room_for_the_long_ones():
+    """One long pass makes every stream in progress late."""
+    steady = learnt(BASE_S, 0.0014, (40, 72), noise_s=0.001)
+    uneven = learnt(BASE_S, 0.0014, (40, 72), noise_s=0.008)
+    limit = uneven.limit(OBJECTIVE_S, SLOTS)
+    assert limit < steady.limit(OBJECTIVE_S, SLOTS)
+    rng = random.Random(5)
+    long = sum(
+        BASE_S + 0.0014 * limit + rng.gauss(0, 0.008) > OBJECTIVE_S
+        for _ in range(2000)
+    )
+    assert long / 2000 < 0.02
+
+
 def test_nothing_is_limited_where_a_slow_rank_makes_all_late():
     model = learnt(0.14, 0.0005, (20, 60))
     assert model.limit(OBJECTIVE_S, SLOTS) == SLOTS
@@ -45,10 +66,34 @@
 def test_a_slow_rank_that_recovers_is_forgotten():
     model = learnt(0.14, 0.0005, (20, 60))
     for _ in range(400):
-        model.observe(BASE_S + 0.0016 * 40, 40, OBJECTIVE_S)
+        model.observe(BASE_S + 0.0016 * 40, 40, 0, OBJECTIVE_S)
     assert 40 < model.limit(OBJECTIVE_S, SLOTS) < SLOTS
 
 
 def test_before_anything_is_seen_the_declared_figures_are_used_with_care():
-    model = concurrency.Concurrency(BASE_S, EVEN_S)
-    assert model.limit(OBJECTIVE_S, SLOTS) < SLOTS
+    model = concurrency.Concurrency(DECLARED)
+    assert model.limit(OBJECTIVE_S, 2 * SLOTS) < 2 * SLOTS
+
+
+def test_prompts_that_arrive_together_leave_room_for_fewer():
+    model = learnt(BASE_S, 0.0011, (40, 72))
+    alone = model.limit(OBJECTIVE_S, SLOTS, 800)
+    crowd = model.limit(OBJECTIVE_S, SLOTS, 6 * 800)
+    assert crowd < alone
+    assert BASE_S + 0.0011 * crowd + model.reading_s(6 * 800) <= OBJECTIVE_S
+
+
+def test_the_time_for_prompts_is_not_taken_for_that_of_writers():
+    reading = learnt(BASE_S, 0.0011, (40, 72))
+    rng = random.Random(4)
+    for _ in range(400):
+        writers, tokens = rng.randint(40, 72), rng.choice([0, 800, 4000])
+        gap_s = BASE_S + 0.0011 * writers + reading.reading_s(tokens)
+        reading.observe(gap_s, writers, tokens, OBJECTIVE_S)
+    assert abs(reading.pass_s(60) - (BASE_S + 0.0011 * 60)) < 0.003
+
+
+def test_the_longest_prompts_count_no_more_than_a_few_usual_ones():
+    model = concurrency.Concurrency(DECLARED)
+    assert model.counted_tokens(100000) < 2 * 835
+    assert model.counted_tokens(100) == 100
--- /dev/null
+++ b/tests/unit/test_placing.py
@@ -0,0 +1,167 @@
+"""Entries that share endpoints, on a virtual clock."""
+
+import random
+
+import pytest
+from twisted.internet import task
+
+from godwitdale_gateway import directory as directory_lib
+from godwitdale_gateway import placing
+from godwitdale_http import pool
+from godwitdale_observe import logs
+from godwitdale_routing import choice
+from godwitdale_routing import routes
+from godwitdale_routing import sharing
+from godwitdale_routing import waiting
+from godwitdale_verdicts import outcomes
+
+SERVICE = "llm"
+ENGINE = routes.Engine(
+    slots=4,
+    step_s=0.006,
+    step_per_request_s=0.0007,
+    prefill_tokens_per_s=61200.0,
+    steps_per_pass=5,
+    expert_share=0.85,
+    usual_prompt_tokens=800.0,
+)
+
+
+class Seeker:
+    def __init__(self, clock, prompt_tokens=800):
+        now_s = clock.seconds()
+        ticket = waiting.Ticket(0, now_s + 0.4, now_s + 2.0)
+        ask = choice.Ask(prompt_tokens=prompt_tokens)
+        self.want = placing.Want(SERVICE, ticket, ask)
+        self.tried = set()
+        self.entry = None
+        self.refusal = None
+
+    def placed(self, entry):
+        self.entry = entry
+
+    def refused(self, refusal):
+        self.refusal = refusal
+
+
+class Entry:
+    """One entry's placer with its view of two endpoints."""
+
+    def __init__(self, clock, endpoints=2):
+        self.clock = clock
+        self.directory = directory_lib.Directory(lambda _: None)
+        for number in range(endpoints):
+            self.put(f"e{number}")
+        self.board = sharing.LoadBoard()
+        rng = random.Random(1)
+        self.placer = placing.Placer(
+            self.directory,
+            self.board,
+            choice.LeastLoaded(rng),
+            clock,
+            rng,
+            logs.EventLog(),
+            lambda: None,
+        )
+
+    def put(self, name, is_draining=False):
+        address = pool.Address("127.0.0.1", 1)
+        endpoint = directory_lib.Endpoint(
+            name, SERVICE, address, "z", 4, is_draining
+        )
+        self.directory.put(endpoint, self.clock.seconds())
+
+    def seek(self, prompt_tokens=800):
+        seeker = Seeker(self.clock, prompt_tokens)
+        self.placer.submit(seeker)
+        return seeker
+
+
+@pytest.fixture
+def clock():
+    return task.Clock()
+
+
+def test_requests_spread_over_the_endpoints(clock):
+    entry = Entry(clock)
+    names = [entry.seek().entry.endpoint.id for _ in range(8)]
+    assert names.count("e0") == names.count("e1") == 4
+
+
+def test_what_other_entries_have_in_work_counts(clock):
+    entry = Entry(clock)
+    entry.board.put("peer", sharing.Load(1, {"e0": 4}, {}, {}), 0.0)
+    names = {entry.seek().entry.endpoint.id for _ in range(4)}
+    assert names == {"e1"}
+
+
+def test_a_full_service_lets_a_request_wait_for_the_next_place(clock):
+    entry = Entry(clock)
+    running = [entry.seek() for _ in range(8)]
+    entry.placer.pace(SERVICE).whole_s = 0.4
+    waiting_one = entry.seek()
+    assert waiting_one.entry is None and waiting_one.refusal is None
+    entry.placer.release(running[0].entry)
+    assert waiting_one.entry is running[0].entry
+
+
+def test_a_request_without_hope_is_refused_at_once(clock):
+    entry = Entry(clock)
+    for _ in range(8):
+        entry.seek()
+    entry.placer.pace(SERVICE).whole_s = 8.0
+    refusal = entry.seek().refusal
+    assert refusal.reason is outcomes.Reason.OVERLOADED
+    assert refusal.retry_after_s > 0
+
+
+def test_a_place_falls_to_the_more_urgent_request_of_another_entry(clock):
+    entry = Entry(clock)
+    running = [entry.seek() for _ in range(8)]
+    entry.placer.pace(SERVICE).whole_s = 0.4
+    clock.advance(0.05)
+    own = entry.seek()
+    urgent = waiting.Urgency(False, 0, clock.seconds())
+    load = sharing.Load(1, {}, {SERVICE: (urgent,)}, {})
+    entry.board.put("peer", load, clock.seconds())
+    entry.placer.release(running[0].entry)
+    assert own.entry is None
+    load = sharing.Load(2, {"e0": 1}, {}, {})
+    entry.board.put("peer", load, clock.seconds())
+    entry.placer.release(running[1].entry)
+    assert own.entry is not None
+
+
+def test_an_entry_without_streams_of_its_own_still_gets_places(clock):
+    """It sees no pass end; starts elsewhere must not add up for ever."""
+    entry = Entry(clock, endpoints=12)
+    entry.placer.configure({SERVICE: ENGINE})
+    entry.placer.paused(SERVICE, 0.05, 0.12)
+    for number in range(1, 200):
+        clock.advance(0.05)
+        load = sharing.Load(number, {}, {}, {SERVICE: 900 * number})
+        entry.board.put("peer", load, clock.seconds())
+    assert entry.seek().entry is not None
+
+
+def test_a_draining_endpoint_gets_nothing(clock):
+    entry = Entry(clock)
+    entry.put("e0", is_draining=True)
+    names = {entry.seek().entry.endpoint.id for _ in range(4)}
+    assert names == {"e1"}
+
+
+def test_a_service_without_endpoints_is_refused(clock):
+    entry = Entry(clock, endpoints=0)
+    assert entry.seek().refusal.reason is outcomes.Reason.NO_ENDPOINT
+
+
+def test_a_lapsed_endpoint_is_used_only_while_no_other_is_listed(clock):
+    entry = Entry(clock)
+    entry.directory.lapse("e0", clock.seconds())
+    assert {entry.seek().entry.endpoint.id for _ in range(3)} == {"e1"}
+    entry.directory.remove("e1")
+    assert entry.seek().entry.endpoint.id == "e0"
+    clock.advance(10)
+    entry.directory.expire(clock.seconds())
+    assert entry.seek().refusal is not None
--- a/tests/unit/test_waiting.py
+++ b/tests/unit/test_waiting.py
@@ -124,7 +124,7 @@
 
 
 def load(sequence, in_work):
-    return sharing.Load(sequence, in_work, {})
+    return sharing.Load(sequence, in_work, {}, {})
 
 
 def test_loads_of_the_other_entries_add_up():
@@ -148,3 +148,13 @@
     board.put("a", load(1, {"e": 2}), 0.0)
     board.expire(sharing.SILENCE_S + 0.1)
     assert board.in_work("e") == 0
+
+
+def test_prompts_sent_by_other_entries_are_counted_once():
+    board = sharing.LoadBoard()
+    board.put("a", sharing.Load(1, {}, {}, {"llm": 100}), 0.0)
+    board.put("a", sharing.Load(2, {}, {}, {"llm": 700}), 1.0)
+    board.put("a", sharing.Load(3, {}, {}, {"llm": 700}), 1.1)
+    board.note_start("llm", 50, 1.2)
+    assert board.tokens_between("llm", 0.5, 1.15) == 600
+    assert board.tokens_between("llm", 0.5, 2.0) == 650
