Spread polls after hurrying; let a connection at hand decide between equals

Cause: entries confirmed the configuration at the store together every 3.2 s, since their polls began and ended in phase; two of five requests opened a connection although an idle one led to an endpoint just as free.

--- a/libs/gateway/src/godwitdale_gateway/following.py
+++ b/libs/gateway/src/godwitdale_gateway/following.py
@@ -185,6 +185,7 @@
             following = await self._reading
         finally:
             self._reading = None
+        was_hurried = self._is_hurried
         self._is_hurried = False
         if following is None:
             self._log.info("history_forgotten", topic=self._topic.name)
@@ -193,7 +194,8 @@
             return
         answered_s = self._reactor.seconds()
         is_empty = not following.items and answered_s >= asked_s + wait_s
-        self._is_woken = bool(following.items)
+        # Entries hurry together as well, so that their polls spread anew.
+        self._is_woken = bool(following.items) or was_hurried
         self._take(following, asked_s + wait_s if is_empty else asked_s)
 
     def _take(self, page: Page, as_of_s: float) -> None:
--- a/libs/gateway/src/godwitdale_gateway/gateway.py
+++ b/libs/gateway/src/godwitdale_gateway/gateway.py
@@ -180,6 +180,7 @@
             self._directory,
             self._board,
             choice.LeastLoaded(self._rng),
+            self._pool.has_idle,
             reactor,
             self._rng,
             self._log,
--- a/libs/gateway/src/godwitdale_gateway/placing.py
+++ b/libs/gateway/src/godwitdale_gateway/placing.py
@@ -83,6 +83,7 @@
         directory: directory_lib.Directory,
         board: sharing.LoadBoard,
         chooser: choice.Chooser,
+        has_idle: Callable[[str], bool],
         reactor: Any,
         rng: random.Random,
         log: logs.EventLog,
@@ -94,6 +95,7 @@
             directory: The endpoints.
             board: The load of the other entries.
             chooser: Picks one of several endpoints.
+            has_idle: Tells whether a connection to an endpoint is at hand.
             reactor: The Twisted reactor.
             rng: Source of jitter.
             log: The log of decisions.
@@ -102,6 +104,7 @@
         self._directory = directory
         self._board = board
         self._chooser = chooser
+        self._has_idle = has_idle
         self._reactor = reactor
         self._rng = rng
         self._log = log
@@ -337,6 +340,7 @@
     def _place(self, seeker: Seeker, now_s: float) -> None:
         candidates = self._candidates(seeker, now_s)
         for entry in candidates:
+            entry.tracked.is_connected = self._has_idle(entry.endpoint.id)
             entry.tracked.report = dataclasses.replace(
                 entry.tracked.report,
                 running=self._board.in_work(entry.endpoint.id),
--- a/libs/http/src/godwitdale_http/pool.py
+++ b/libs/http/src/godwitdale_http/pool.py
@@ -65,6 +65,10 @@
             channel.close()
         return None
 
+    def has_idle(self, name: str) -> bool:
+        """Tells whether a connection to an endpoint is at hand."""
+        return bool(self._idle.get(name))
+
     def open(
         self, address: Address, timeout_s: float
     ) -> "defer.Deferred[channel_lib.Channel]":
--- a/libs/routing/src/godwitdale_routing/choice.py
+++ b/libs/routing/src/godwitdale_routing/choice.py
@@ -46,9 +46,18 @@
         sent: Requests sent since the report was made that it cannot include.
         health: Failures and slow start.
         first_byte_s: Smoothed measured time to the first byte.
+        is_connected: Whether an idle connection to it is at hand.
     """
 
-    __slots__ = ("name", "zone", "report", "sent", "health", "first_byte_s")
+    __slots__ = (
+        "name",
+        "zone",
+        "report",
+        "sent",
+        "health",
+        "first_byte_s",
+        "is_connected",
+    )
 
     def __init__(self, name: str, zone: str, now_s: float) -> None:
         self.name = name
@@ -57,6 +66,7 @@
         self.sent = 0
         self.health = health_lib.Health(now_s)
         self.first_byte_s = 0.0
+        self.is_connected = False
 
     def reported(self, report: LoadReport, included: int) -> None:
         """Takes over a report.
@@ -206,7 +216,8 @@
     """The endpoint with the smallest share of its slots taken.
 
     Ties are drawn, so that entries that know the same do not all run to the
-    same endpoint; the own availability zone goes first among equals.
+    same endpoint; an endpoint to which a connection is at hand and then the own
+    availability zone go first among equals.
     """
 
     __slots__ = ("_rng",)
@@ -222,6 +233,7 @@
             candidates,
             key=lambda each: (
                 _taken_share(each),
+                not each.is_connected,
                 each.zone != ask.zone,
                 self._rng.random(),
             ),
--- a/tests/unit/test_placing.py
+++ b/tests/unit/test_placing.py
@@ -49,6 +49,7 @@
 
     def __init__(self, clock, endpoints=2):
         self.clock = clock
+        self.connected = set()
         self.directory = directory_lib.Directory(lambda _: None)
         for number in range(endpoints):
             self.put(f"e{number}")
@@ -58,6 +59,7 @@
             self.directory,
             self.board,
             choice.LeastLoaded(rng),
+            self.connected.__contains__,
             clock,
             rng,
             logs.EventLog(),
@@ -144,6 +146,13 @@
     assert entry.seek().entry is not None
 
 
+def test_a_connection_at_hand_decides_between_equals_only(clock):
+    entry = Entry(clock, endpoints=6)
+    entry.connected.add("e3")
+    assert entry.seek().entry.endpoint.id == "e3"
+    assert entry.seek().entry.endpoint.id != "e3"
+
+
 def test_a_draining_endpoint_gets_nothing(clock):
     entry = Entry(clock)
     entry.put("e0", is_draining=True)
