Refuse at once an answer that cannot end in time

Change: a request whose answer would take 1.5 times the time left at the present pace is refused at once and truthfully. Entries that cannot confirm keys stop being ready sooner.

--- a/libs/gateway/src/godwitdale_gateway/dialect.py
+++ b/libs/gateway/src/godwitdale_gateway/dialect.py
@@ -18,7 +18,7 @@
         time_left_s: How long the caller will wait, or None.
         last_event_id: Last event of a stream that the caller has, or None.
         prompt_tokens: Length of the prompt, 0 where unknown.
-        most_answer_tokens: Longest answer that is asked for, 0 where unknown.
+        answer_tokens: Expected length of the answer, 0 where unknown.
     """
 
     request_id: bytes
@@ -27,7 +27,7 @@
     time_left_s: float | None
     last_event_id: int | None
     prompt_tokens: int
-    most_answer_tokens: int
+    answer_tokens: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -117,6 +117,8 @@
             job.service,
             job.ticket,
             choice.Ask(prompt_tokens=job.ask.prompt_tokens, zone=tools.zone),
+            job.ask.answer_tokens,
+            job.deadline_s,
         )
         self.tried: set[str] = set()
         self._is_waiting = False
--- a/libs/gateway/src/godwitdale_gateway/placing.py
+++ b/libs/gateway/src/godwitdale_gateway/placing.py
@@ -20,6 +20,12 @@
 # Times that are assumed of a service before any answer has been seen.
 _FIRST_S = 0.15
 _WHOLE_S = 1.0
+# An answer is refused at once if at the present pace it would take this many
+# times the time that is left; slow ranks recover, so that less is no proof.
+_TOO_LONG = 1.5
+# Share of the time left after which it is worth another try; spread, it stays
+# below the third of it up to which callers wait.
+_LATER_SHARE = 0.15
 # Events of two streams belong to the same pass if they come closer together
 # than this share of the pause.
 _SAME_PASS_SHARE = 0.5
@@ -42,11 +48,15 @@
         service: Name of the service.
         ticket: How long it may wait.
         ask: What the choice of an endpoint may know of it.
+        answer_tokens: Expected length of its answer, 0 where unknown.
+        deadline_s: When the caller has to have the whole answer.
     """
 
     service: str
     ticket: waiting.Ticket
     ask: choice.Ask
+    answer_tokens: float = 0.0
+    deadline_s: float = float("inf")
 
 
 class Seeker(Protocol):
@@ -73,6 +83,7 @@
     surplus_s: float = 0.0
     pass_ended_s: float = 0.0
     started: int = 0
+    tokens_per_pass: int = 0
 
 
 class Placer:
@@ -128,6 +139,7 @@
                 service.concurrency = concurrency_lib.Concurrency(
                     _declared(engine)
                 )
+                service.tokens_per_pass = engine.steps_per_pass
 
     def paused(self, name: str, gap_s: float, objective_s: float) -> None:
         """Takes a pause between two events of a stream into account.
@@ -164,9 +176,11 @@
         want = seeker.want
         service = self._service(want.service)
         own = waiting.urgency(want.ticket, service.pace, now_s)
-        if self._try_place(seeker, own, now_s):
-            return
-        refusal = self._hopeless(seeker, own, now_s)
+        refusal = self._too_long(want, now_s)
+        if refusal is None:
+            if self._try_place(seeker, own, now_s):
+                return
+            refusal = self._hopeless(seeker, own, now_s)
         if refusal is not None:
             seeker.refused(refusal)
             return
@@ -357,6 +371,24 @@
         self._changed()
         seeker.placed(chosen)
 
+    def _too_long(self, want: Want, now_s: float) -> outcomes.Refusal | None:
+        """Returns a refusal of an answer that cannot end in time, or None."""
+        service = self._service(want.service)
+        if service.concurrency is None or service.tokens_per_pass <= 0:
+            return None
+        entries = self._directory.of_service(want.service)
+        running = sum(self._taken(entry) for entry in entries)
+        pass_s = service.concurrency.pass_s(running)
+        whole_s = pass_s * want.answer_tokens / service.tokens_per_pass
+        left_s = want.deadline_s - now_s
+        if whole_s <= left_s * _TOO_LONG:
+            return None
+        return outcomes.not_run(
+            outcomes.Reason.OVERLOADED,
+            f"the answer would take {whole_s:.1f} s, {left_s:.1f} s are left",
+            retry_after_s=self._spread(left_s * _LATER_SHARE),
+        )
+
     def _hopeless(
         self, seeker: Seeker, own: waiting.Urgency, now_s: float
     ) -> outcomes.Refusal | None:
--- a/libs/routing/src/godwitdale_routing/freshness.py
+++ b/libs/routing/src/godwitdale_routing/freshness.py
@@ -8,10 +8,10 @@
 # Shares of the bound after which another entry is asked to confirm the copy,
 # and after which the store is asked itself.
 _ASK_SHARE = 0.35
-_READ_SHARE = 0.6
+_READ_SHARE = 0.5
 # Share after which new callers are better off at another entry: both ways of
 # confirming have failed by then, and keys will soon be refused.
-_READY_SHARE = 0.7
+_READY_SHARE = 0.56
 # Kept between the age at which keyed work is refused and the bound.
 _MARGIN_SHARE = 0.06
 
--- a/tests/unit/test_placing.py
+++ b/tests/unit/test_placing.py
@@ -1,5 +1,6 @@
 """Entries that share endpoints, on a virtual clock."""
 
+import dataclasses
 import random
 
 import pytest
@@ -153,6 +154,25 @@
     assert entry.seek().entry.endpoint.id != "e3"
 
 
+@pytest.mark.parametrize(("tokens", "is_refused"), [(30, False), (300, True)])
+def test_an_answer_that_cannot_end_in_time_is_refused_at_once(
+    clock, tokens, is_refused
+):
+    """Beside a slow rank passes take 0.6 s; callers leave after 8 s."""
+    entry = Entry(clock)
+    entry.placer.configure({SERVICE: ENGINE})
+    for _ in range(200):
+        entry.board.put("peer", sharing.Load(1, {"e0": 3}, {}, {}), 0.0)
+        clock.advance(0.6)
+        entry.placer.paused(SERVICE, 0.6, 0.12)
+    seeker = Seeker(clock)
+    seeker.want = dataclasses.replace(
+        seeker.want, answer_tokens=tokens, deadline_s=clock.seconds() + 8
+    )
+    entry.placer.submit(seeker)
+    assert (seeker.refusal is not None) is is_refused
+
+
 def test_a_draining_endpoint_gets_nothing(clock):
     entry = Entry(clock)
     entry.put("e0", is_draining=True)
