--- a/libs/routing/src/godwitdale_routing/concurrency.py
+++ b/libs/routing/src/godwitdale_routing/concurrency.py
@@ -18,9 +18,9 @@
 import dataclasses
 import math
 
-# What each pause weighs less than the one after it; an entry sees some tens of
-# them a second, so that a change shows within a second or two.
-_DECAY = 0.985
+# How much less a pause weighs than the one after it; an entry sees some ten of
+# them a second, so that a change of the experts in demand shows within two.
+_DECAY = 0.94
 # Share of the objective that a pass may take; the rest is for the way.
 _PASS_SHARE = 0.98
 # Standard deviations between the mean pass and that. One long pass makes every
