Bound the expected pass by the last few

Cause: a test showed that a rank's slow passes of 0.7 s were still expected a second after it had recovered (0.39 s), so that usual answers were refused.

--- a/libs/routing/src/godwitdale_routing/concurrency.py
+++ b/libs/routing/src/godwitdale_routing/concurrency.py
@@ -21,6 +21,8 @@
 # Time in which a pause comes to weigh a third of a new one. It follows the
 # experts in demand, which change within seconds, and ranks that turn slow.
 _MEMORY_S = 1.5
+# Weight of the newest pause among the last few.
+_RECENT_WEIGHT = 0.3
 # Share of the objective that a pass may take; the rest is for the way.
 _PASS_SHARE = 0.98
 # Standard deviations between the mean pass and that. One long pass makes every
@@ -78,6 +80,7 @@
         "_running_running",
         "_running_gap_s",
         "_gap_gap_s",
+        "_recent_s",
     )
 
     def __init__(self, declared: Declared) -> None:
@@ -89,6 +92,7 @@
         self._running_running = 0.0
         self._running_gap_s = 0.0
         self._gap_gap_s = 0.0
+        self._recent_s = math.inf
 
     def observe(
         self, gap_s: float, running: int, tokens: float, objective_s: float
@@ -105,6 +109,9 @@
             return
         gap_s = min(gap_s, _OUTLIER * objective_s)
         gap_s = max(self._declared.base_s, gap_s - self.reading_s(tokens))
+        if math.isinf(self._recent_s):
+            self._recent_s = gap_s
+        self._recent_s += _RECENT_WEIGHT * (gap_s - self._recent_s)
         kept = math.exp(-gap_s / _MEMORY_S)
         weight = gap_s  # A long pause stands for as much time as it took.
         self._weight = self._weight * kept + weight
@@ -121,11 +128,14 @@
     def pass_s(self, running: int) -> float:
         """Returns how long a pass takes.
 
+        A rank that was slow and has recovered shows in the last few passes
+        before the line has forgotten it.
+
         Args:
             running: Requests in work at the service.
         """
         base_s, per_request_s = self._line()
-        return base_s + per_request_s * running
+        return min(base_s + per_request_s * running, self._recent_s)
 
     def reading_s(self, tokens: float) -> float:
         """Returns how much longer prompts make the pass that reads them.
