--- a/libs/routing/src/godwitdale_routing/concurrency.py
+++ b/libs/routing/src/godwitdale_routing/concurrency.py
@@ -27,7 +27,7 @@
 _PASS_SHARE = 0.98
 # Standard deviations between the mean pass and that. One long pass makes every
 # stream in progress late, and some twenty passes go by while a stream lasts.
-_DEVIATIONS = 2.0
+_DEVIATIONS = 2.5
 # A prompt counts as at most this many usual ones, so that the longest get their
 # turn; one of them alone makes a pass little longer than several short ones.
 _MOST_PROMPTS = 1.5
