Log without waiting for the reader, and serve metrics beside readiness

Cause: a reader of standard output that stops reading would have stopped an entry; nothing served counters or histograms.

Change: bounded lines with a rate for each kind and a count of what was left out; counters by event and reason and histograms by class and account as text at /metrics of the readiness address. Ruled out: Prometheus' client library, whose import takes longer than the rest of the start.

--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -16,6 +16,7 @@
 from godwitdale_http import channel as channel_lib
 from godwitdale_http import headers as headers_lib
 from godwitdale_http import pool as pool_lib
+from godwitdale_observe import histograms as histograms_lib
 from godwitdale_observe import logs
 from godwitdale_routing import attempts as attempts_lib
 from godwitdale_routing import choice
@@ -60,6 +61,11 @@
     account: str | None
     deadline_s: float
 
+    @property
+    def service_class(self) -> str:
+        """The class that times are gathered by; there are few of them."""
+        return f"{self.service}/{self.route.kind.value}"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tools:
@@ -74,6 +80,7 @@
         budgets: Retry budgets.
         zone: Availability zone of this process.
         log: The log of decisions.
+        histograms: Times by class and account.
     """
 
     reactor: Any
@@ -84,6 +91,7 @@
     budgets: retries.BudgetsByService
     zone: str
     log: logs.EventLog
+    histograms: histograms_lib.Histograms
 
 
 class Forwarding:
@@ -341,6 +349,15 @@
         now_s = self._tools.reactor.seconds()
         self._tools.placer.pace(self._job.service).ended(now_s - self._sent_s)
         started_s = self._job.incoming.received_s
+        metric = histograms_lib.Metric
+        for each, value_s in (
+            (metric.QUEUE, self._sent_s - started_s),
+            (metric.FIRST_TOKEN, self._first_s - started_s),
+            (metric.WHOLE, now_s - started_s),
+        ):
+            self._tools.histograms.record(
+                each, self._job.service_class, self._job.account or "", value_s
+            )
         self._tools.log.info(
             "answered",
             request=self._job.ask.request_id.decode("latin-1"),
--- a/libs/gateway/src/godwitdale_gateway/gateway.py
+++ b/libs/gateway/src/godwitdale_gateway/gateway.py
@@ -19,6 +19,8 @@
 from godwitdale_gateway import refusing
 from godwitdale_http import callers
 from godwitdale_http import pool as pool_lib
+from godwitdale_observe import exposition
+from godwitdale_observe import histograms as histograms_lib
 from godwitdale_observe import logs
 from godwitdale_process import lifecycle
 from godwitdale_routing import choice
@@ -52,6 +54,8 @@
 _RETRY_BURST_SHARE = 0.5
 # Entries that are assumed before the store has told how many there are.
 _ASSUMED_ENTRIES = 32
+# Client accounts with histograms of their own; each takes some 80 kB.
+_MOST_ACCOUNTS = 24
 # Bounds of the pause after a failed announcement; nothing but the quality of
 # choices depends on it.
 _MEET_BASE_S = 0.5
@@ -199,6 +203,7 @@
         self._budgets = retries.BudgetsByService(
             settings.retry_share * _RETRY_SHARE, self._retry_burst()
         )
+        self._histograms = histograms_lib.Histograms(_MOST_ACCOUNTS)
         self._tools = forwarding.Tools(
             reactor=reactor,
             dialect=sources.dialect,
@@ -208,6 +213,7 @@
             budgets=self._budgets,
             zone=settings.zone,
             log=self._log,
+            histograms=self._histograms,
         )
         self._channels: set[callers.CallerChannel] = set()
         self._in_work = 0
@@ -330,6 +336,25 @@
             and self._configuration.freshness.is_confirmed(now_s)
         )
 
+    def metrics(self) -> str:
+        """Returns counters, present values and histograms as text."""
+        now_s = self._reactor.seconds()
+        configuration = self._configuration.current
+        gauges = {
+            "requests_in_work": float(self._in_work),
+            "caller_connections": float(len(self._channels)),
+            "endpoints": float(len(self._directory)),
+            "entries_heard": float(self._peers.count),
+            "configuration_version": float(
+                configuration.version if configuration else -1
+            ),
+            "configuration_age_seconds": (
+                self._configuration.freshness.age_s(now_s)
+            ),
+        }
+        rows = self._histograms.rows()
+        return exposition.render(self._log.counts, gauges, rows)
+
     def _allow(
         self, incoming: callers.Incoming, ask: dialect_lib.Ask
     ) -> forwarding.Job | outcomes.Refusal:
@@ -519,6 +544,10 @@
         self, incoming: callers.Incoming, answer: callers.CallerChannel
     ) -> callers.Work:
         """Answers 200 while new connections are welcome."""
+        if incoming.target == _METRICS_TARGET:
+            kind = (b"content-type", b"text/plain; version=0.0.4")
+            answer.whole(200, [kind], self._gateway.metrics().encode())
+            return _NO_WORK
         status = 200 if self._gateway.is_ready() else 503
         answer.whole(status, [], b"")
         return _NO_WORK
@@ -539,5 +568,6 @@
     )
 
 
+_METRICS_TARGET = b"/metrics"
 _NO_WORK = _NoWork()
 _DEFAULT_LIMITS = routes.CallerLimits()
--- a/libs/observe/src/godwitdale_observe/logs.py
+++ b/libs/observe/src/godwitdale_observe/logs.py
@@ -1,5 +1,6 @@
 """Structured logs: one JSON object a line."""
 
+import collections
 import logging
 import sys
 from typing import Any
@@ -7,6 +8,8 @@
 
 from pythonjsonlogger import json as json_logger
 
+from godwitdale_observe import lines
+
 _LOGGER = "godwitdale"
 
 
@@ -20,7 +23,12 @@
         level: The lowest level that is written.
         stream: Where they go; standard error by default.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    chosen = stream or sys.stderr
+    handler: logging.Handler
+    try:
+        handler = lines.BoundedHandler(chosen.fileno())
+    except (OSError, ValueError):  # Not a descriptor, as in tests.
+        handler = logging.StreamHandler(chosen)
     handler.setFormatter(
         json_logger.JsonFormatter(
             "%(asctime)s %(levelname)s %(message)s",
@@ -39,17 +47,25 @@
 
     Keys and bodies of requests never go in here; callers pass only
     identifiers, names, durations and verdicts.
+
+    Attributes:
+        counts: Events by name and reason.
     """
 
-    __slots__ = ("_logger",)
+    __slots__ = ("_logger", "counts")
 
     def __init__(self) -> None:
         self._logger = logging.getLogger(_LOGGER)
+        self.counts: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
 
     def info(self, event: str, **fields: Any) -> None:
         """Writes an ordinary event."""
+        self.counts[event, str(fields.get("reason", ""))] += 1
         self._logger.info(event, extra=fields)
 
     def warning(self, event: str, **fields: Any) -> None:
         """Writes an event that an operator may have to look at."""
+        self.counts[event, str(fields.get("reason", ""))] += 1
         self._logger.warning(event, extra=fields)
