--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -12,6 +12,7 @@
 from godwitdale_gateway import events as events_lib
 from godwitdale_gateway import placing
 from godwitdale_gateway import refusing
+from godwitdale_gateway import timing
 from godwitdale_http import callers
 from godwitdale_http import channel as channel_lib
 from godwitdale_http import headers as headers_lib
@@ -130,7 +131,6 @@
         )
         self.tried: set[str] = set()
         self._is_waiting = False
-        self._sent_s = 0.0
         self._attempts = 0
         self._unreached = 0
         self._in_doubt = False
@@ -145,10 +145,7 @@
         self._splitter = events_lib.Splitter()
         self._last_event_id = job.ask.last_event_id
         self._has_head = False
-        self._has_part = False
-        self._first_s = 0.0
-        self._last_part_s = 0.0
-        self._widest_gap_s = 0.0
+        self._times = timing.AnswerTimes(job.incoming.received_s)
         self._is_over = False
         self._timer: Any = None
 
@@ -224,9 +221,8 @@
         entry = self._entry
         assert entry is not None
         self._attempts += 1
-        self._sent_s = self._tools.reactor.seconds()
+        self._times.sent(self._tools.reactor.seconds())
         self._channel = channel
-        self._has_part = False
         self._body = []
         self._body_bytes = 0
         self._splitter = events_lib.Splitter()
@@ -330,43 +326,39 @@
     def _note_part(self) -> None:
         """Takes the time of a part of an answer into account."""
         now_s = self._tools.reactor.seconds()
-        if self._first_s == 0.0:
-            self._first_s = now_s
-        else:
-            gap_s = now_s - self._last_part_s
-            self._widest_gap_s = max(self._widest_gap_s, gap_s)
-            objective_s = self._job.route.gap_objective_s
-            if objective_s is not None and self._has_part:
-                service = self._job.service
-                self._tools.placer.paused(service, gap_s, objective_s)
-        self._last_part_s = now_s
-        if not self._has_part:
-            self._has_part = True
-            pace = self._tools.placer.pace(self._job.service)
-            pace.began(now_s - self._sent_s)
+        placer = self._tools.placer
+        service = self._job.service
+        gap_s = self._times.part(now_s)
+        if gap_s is None:
+            placer.pace(service).began(now_s - self._times.sent_s)
+            return
+        objective_s = self._job.route.gap_objective_s
+        if objective_s is not None:
+            placer.paused(service, gap_s, objective_s)
 
     def _note_end(self) -> None:
         now_s = self._tools.reactor.seconds()
-        self._tools.placer.pace(self._job.service).ended(now_s - self._sent_s)
-        started_s = self._job.incoming.received_s
+        times = self._times
+        job = self._job
+        self._tools.placer.pace(job.service).ended(now_s - times.sent_s)
         metric = histograms_lib.Metric
         for each, value_s in (
-            (metric.QUEUE, self._sent_s - started_s),
-            (metric.FIRST_TOKEN, self._first_s - started_s),
-            (metric.WHOLE, now_s - started_s),
+            (metric.QUEUE, times.waited_s),
+            (metric.FIRST_TOKEN, times.first_part_s),
+            (metric.WHOLE, now_s - job.incoming.received_s),
         ):
             self._tools.histograms.record(
-                each, self._job.service_class, self._job.account or "", value_s
+                each, job.service_class, job.account or "", value_s
             )
         self._tools.log.info(
             "answered",
-            request=self._job.ask.request_id.decode("latin-1"),
-            route=self._job.route.name,
+            request=job.ask.request_id.decode("latin-1"),
+            route=job.route.name,
             attempts=self._attempts,
-            waited_s=round(self._sent_s - started_s, 3),
-            first_s=round(self._first_s - started_s, 3),
-            gap_s=round(self._widest_gap_s, 3),
-            whole_s=round(now_s - started_s, 3),
+            waited_s=round(times.waited_s, 3),
+            first_s=round(times.first_part_s, 3),
+            gap_s=round(times.widest_gap_s, 3),
+            whole_s=round(now_s - job.incoming.received_s, 3),
         )
 
     def _finish_success(self) -> None:
--- a/libs/gateway/src/godwitdale_gateway/gateway.py
+++ b/libs/gateway/src/godwitdale_gateway/gateway.py
@@ -1,14 +1,13 @@
 """The gateway: an entry that calls endpoints directly."""
 
-import dataclasses
 import functools
 import random
 from typing import Any
-from typing import Protocol
 
 from twisted.internet import defer
 from twisted.internet import task
 
+from godwitdale_gateway import admission
 from godwitdale_gateway import dialect as dialect_lib
 from godwitdale_gateway import directory as directory_lib
 from godwitdale_gateway import following
@@ -16,7 +15,9 @@
 from godwitdale_gateway import knowledge
 from godwitdale_gateway import peers as peers_lib
 from godwitdale_gateway import placing
+from godwitdale_gateway import readiness
 from godwitdale_gateway import refusing
+from godwitdale_gateway import settings as settings_lib
 from godwitdale_http import callers
 from godwitdale_http import pool as pool_lib
 from godwitdale_observe import exposition
@@ -29,7 +30,6 @@
 from godwitdale_routing import routes
 from godwitdale_routing import sharing
 from godwitdale_routing import turns
-from godwitdale_routing import waiting
 from godwitdale_verdicts import exceptions
 from godwitdale_verdicts import identifiers
 from godwitdale_verdicts import outcomes
@@ -38,9 +38,6 @@
 # The platform takes an instance out of rotation after two missed looks, one a
 # second, so that new connections may come for that long.
 _ROTATION_S = 2.6
-# Streams that come later than this after the start of a drain could be cut by
-# its end; their callers are better off at another entry.
-_DRAIN_STREAMS_S = 2.5
 # Kept of the time for a stop to close connections and exit.
 _STOP_RESERVE_S = 0.6
 # Share of the time in which a change has to be known after which one of the
@@ -62,73 +59,6 @@
 _MEET_MOST_S = 5.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Settings:
-    """Settings of a gateway.
-
-    Attributes:
-        name: Name of the instance.
-        zone: Its availability zone.
-        frontend: Where callers connect.
-        readiness: Where the platform asks for readiness.
-        peers: Where other entries reach this one, over UDP.
-        stop_s: Time from the request to stop until the process is killed.
-        key_bound_s: Oldest configuration by which a key may be accepted.
-        apply_s: Time within which a change has to be in force.
-        leaving_s: Time in which a leaving endpoint stops getting work.
-        retry_share: Retries allowed for each request to a service.
-        retry_burst: Retries beyond that, over all entries.
-    """
-
-    name: str
-    zone: str
-    frontend: pool_lib.Address
-    readiness: pool_lib.Address
-    peers: pool_lib.Address
-    stop_s: float
-    key_bound_s: float
-    apply_s: float
-    leaving_s: float
-    retry_share: float
-    retry_burst: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Sources:
-    """What the platform provides.
-
-    Attributes:
-        dialect: Reads and writes headers.
-        configuration: The topic that holds the configuration.
-        configuration_key: Its key there.
-        decode_configuration: Decodes it.
-        endpoints: The topic that lists the endpoints.
-        decode_endpoint: Decodes one of them.
-        registry: Where the entries find each other.
-    """
-
-    dialect: dialect_lib.Dialect
-    configuration: following.Topic
-    configuration_key: str
-    decode_configuration: knowledge.DecodeConfiguration
-    endpoints: following.Topic
-    decode_endpoint: knowledge.DecodeEndpoint
-    registry: "Registry"
-
-
-class Registry(Protocol):
-    """Where the entries find each other.
-
-    Both calls raise ``exceptions.PlatformUnavailableError``.
-    """
-
-    async def announce(self, name: str, address: pool_lib.Address) -> None:
-        """Writes where an entry can be reached."""
-
-    async def members(self) -> set[pool_lib.Address]:
-        """Returns where entries may be reached."""
-
-
 class Gateway:
     """One entry process. Construct it, ``start`` it; signals call ``stop``.
 
@@ -137,7 +67,10 @@
     """
 
     def __init__(
-        self, settings: Settings, sources: Sources, reactor: Any
+        self,
+        settings: settings_lib.Settings,
+        sources: settings_lib.Sources,
+        reactor: Any,
     ) -> None:
         """Wires the parts; nothing listens yet.
 
@@ -215,9 +148,15 @@
             log=self._log,
             histograms=self._histograms,
         )
+        self._admission = admission.Admission(
+            self._configuration,
+            self._endpoints,
+            settings.stop_s,
+            reactor,
+            self._rng,
+        )
         self._channels: set[callers.CallerChannel] = set()
         self._in_work = 0
-        self._drain_s: float | None = None
         self._listening: list[Any] = []
         self._confirming = task.LoopingCall(self._confirm)
         self._confirming.clock = reactor
@@ -236,7 +175,7 @@
         settings = self._settings
         for address, handler in (
             (settings.frontend, self),
-            (settings.readiness, ReadinessHandler(self)),
+            (settings.readiness, readiness.ReadinessHandler(self)),
         ):
             factory = callers.CallerFactory(handler, self._reactor)
             port = self._reactor.listenTCP(
@@ -262,7 +201,7 @@
 
     def drain(self) -> None:
         """Closes connections after their next answer."""
-        self._drain_s = self._reactor.seconds()
+        self._admission.drain_s = self._reactor.seconds()
 
     def in_flight(self) -> int:
         """Returns the number of requests that have not ended."""
@@ -302,7 +241,7 @@
 
     def is_draining(self) -> bool:
         """Tells whether connections are closed after their next answer."""
-        return self._drain_s is not None
+        return self._admission.drain_s is not None
 
     def opened(self, channel: callers.CallerChannel) -> None:
         """A caller has connected."""
@@ -317,10 +256,10 @@
     ) -> callers.Work:
         """Forwards a request, or refuses it."""
         ask = self._dialect.read(incoming.headers)
-        allowed = self._allow(incoming, ask)
+        allowed = self._admission.admit(incoming, ask)
         if isinstance(allowed, outcomes.Refusal):
             self._refuse(ask, allowed, answer)
-            return _NO_WORK
+            return callers.NO_WORK
         self._in_work += 1
         work = forwarding.Forwarding(allowed, answer, self._tools, self._ended)
         work.start()
@@ -330,7 +269,7 @@
         """Tells whether new connections are welcome."""
         now_s = self._reactor.seconds()
         return (
-            self._drain_s is None
+            self._admission.drain_s is None
             and self._endpoints.is_complete
             and self._configuration.current is not None
             and self._configuration.freshness.is_confirmed(now_s)
@@ -355,73 +294,6 @@
         rows = self._histograms.rows()
         return exposition.render(self._log.counts, gauges, rows)
 
-    def _allow(
-        self, incoming: callers.Incoming, ask: dialect_lib.Ask
-    ) -> forwarding.Job | outcomes.Refusal:
-        now_s = self._reactor.seconds()
-        configuration = self._configuration.current
-        if configuration is None or not self._endpoints.is_complete:
-            return _unconfirmed("no configuration has been read yet")
-        freshness = self._configuration.freshness
-        is_fresh = freshness.is_fresh(now_s)
-        path = incoming.target.partition(b"?")[0].decode("latin-1")
-        route = configuration.table.find(ask.host, path)
-        if route is None:
-            if not is_fresh:
-                return _unconfirmed("the configuration may have changed")
-            return outcomes.not_run(outcomes.Reason.NOT_FOUND, "no such route")
-        account = None
-        if configuration.accounts is not None and not route.is_public:
-            if not is_fresh:
-                return _unconfirmed("keys cannot be confirmed at present")
-            account = configuration.accounts.get(ask.key or "")
-            if account is None:
-                return outcomes.not_run(
-                    outcomes.Reason.UNAUTHENTICATED, "this key is not in force"
-                )
-        if self._is_too_late(route):
-            return outcomes.not_run(
-                outcomes.Reason.DRAINING,
-                "this entry is stopping",
-                retry_after_s=refusing.UNCONFIRMED_RETRY_S,
-            )
-        limit_s = route.timeout_s
-        if ask.time_left_s is not None:
-            limit_s = min(limit_s, ask.time_left_s)
-        return forwarding.Job(
-            incoming=incoming,
-            ask=ask,
-            ticket=self._ticket(incoming, route, limit_s),
-            route=route,
-            service=route.pick(self._rng),
-            account=account.name if account else None,
-            deadline_s=incoming.received_s + limit_s,
-        )
-
-    def _ticket(
-        self,
-        incoming: callers.Incoming,
-        route: routes.Route,
-        limit_s: float,
-    ) -> waiting.Ticket:
-        received_s = incoming.received_s
-        patience_s = limit_s
-        if route.patience_s is not None:
-            patience_s = min(limit_s, route.patience_s)
-        return waiting.Ticket(
-            priority=route.priority,
-            objective_at_s=received_s + route.objective_s,
-            patience_at_s=received_s + patience_s,
-        )
-
-    def _is_too_late(self, route: routes.Route) -> bool:
-        if self._drain_s is None:
-            return False
-        since_s = self._reactor.seconds() - self._drain_s
-        if route.kind is routes.Kind.STREAM:
-            return since_s > _DRAIN_STREAMS_S
-        return since_s + route.timeout_s > self._settings.stop_s
-
     def _refuse(
         self,
         ask: dialect_lib.Ask,
@@ -514,60 +386,4 @@
         self._in_work -= 1
 
 
-class ReadinessHandler:
-    """Answers the platform's looks at readiness."""
-
-    def __init__(self, gateway: Gateway) -> None:
-        """Serves the readiness of a gateway."""
-        self._gateway = gateway
-
-    def bounds(self) -> callers.Bounds:
-        """Returns bounds for the platform's requests."""
-        return callers.Bounds(
-            _DEFAULT_LIMITS.head_bytes,
-            0,
-            _DEFAULT_LIMITS.head_timeout_s,
-            _DEFAULT_LIMITS.idle_timeout_s,
-        )
-
-    def is_draining(self) -> bool:
-        """Keeps the connections of the platform."""
-        return False
-
-    def opened(self, channel: callers.CallerChannel) -> None:
-        """Does not count connections."""
-
-    def closed(self, channel: callers.CallerChannel) -> None:
-        """Does not count connections."""
-
-    def handle(
-        self, incoming: callers.Incoming, answer: callers.CallerChannel
-    ) -> callers.Work:
-        """Answers 200 while new connections are welcome."""
-        if incoming.target == _METRICS_TARGET:
-            kind = (b"content-type", b"text/plain; version=0.0.4")
-            answer.whole(200, [kind], self._gateway.metrics().encode())
-            return _NO_WORK
-        status = 200 if self._gateway.is_ready() else 503
-        answer.whole(status, [], b"")
-        return _NO_WORK
-
-
-class _NoWork:
-    """Work that was done at once."""
-
-    def abandon(self) -> None:
-        """Has nothing to give up."""
-
-
-def _unconfirmed(detail: str) -> outcomes.Refusal:
-    return outcomes.not_run(
-        outcomes.Reason.STALE,
-        detail,
-        retry_after_s=refusing.UNCONFIRMED_RETRY_S,
-    )
-
-
-_METRICS_TARGET = b"/metrics"
-_NO_WORK = _NoWork()
 _DEFAULT_LIMITS = routes.CallerLimits()
--- /dev/null
+++ b/libs/gateway/src/godwitdale_gateway/readiness.py
@@ -0,0 +1,58 @@
+"""The listener that the platform and monitoring ask."""
+
+from typing import Protocol
+
+from godwitdale_http import callers
+from godwitdale_routing import routes
+
+_METRICS_TARGET = b"/metrics"
+_LIMITS = routes.CallerLimits()
+
+
+class Status(Protocol):
+    """What can be asked of a process."""
+
+    def is_ready(self) -> bool:
+        """Tells whether new connections are welcome."""
+
+    def metrics(self) -> str:
+        """Returns counters, present values and histograms as text."""
+
+
+class ReadinessHandler:
+    """Answers the platform's looks at readiness, and serves metrics."""
+
+    def __init__(self, gateway: Status) -> None:
+        """Serves the readiness of a gateway."""
+        self._gateway = gateway
+
+    def bounds(self) -> callers.Bounds:
+        """Returns bounds for the platform's requests."""
+        return callers.Bounds(
+            _LIMITS.head_bytes,
+            0,
+            _LIMITS.head_timeout_s,
+            _LIMITS.idle_timeout_s,
+        )
+
+    def is_draining(self) -> bool:
+        """Keeps the connections of the platform."""
+        return False
+
+    def opened(self, channel: callers.CallerChannel) -> None:
+        """Does not count connections."""
+
+    def closed(self, channel: callers.CallerChannel) -> None:
+        """Does not count connections."""
+
+    def handle(
+        self, incoming: callers.Incoming, answer: callers.CallerChannel
+    ) -> callers.Work:
+        """Answers 200 while new connections are welcome."""
+        if incoming.target == _METRICS_TARGET:
+            kind = (b"content-type", b"text/plain; version=0.0.4")
+            answer.whole(200, [kind], self._gateway.metrics().encode())
+            return callers.NO_WORK
+        status = 200 if self._gateway.is_ready() else 503
+        answer.whole(status, [], b"")
+        return callers.NO_WORK
--- a/libs/http/src/godwitdale_http/callers.py
+++ b/libs/http/src/godwitdale_http/callers.py
@@ -319,9 +319,9 @@
         self._body_bytes = 0
         self._has_bytes = False
         self.has_begun = False
-        self._work = _NOTHING
+        self._work = NO_WORK
         work = self._handler.handle(incoming, self)
-        if self._work is _NOTHING:
+        if self._work is NO_WORK:
             self._work = work
 
     def _finish(self) -> None:
@@ -388,14 +388,14 @@
     return size + len(b"\r\n")
 
 
-class _Nothing:
-    """Stands for work whose handler has not returned yet."""
+class _NoWork:
+    """Stands for work that was done at once, or has not begun yet."""
 
     def abandon(self) -> None:
         """Has nothing to give up."""
 
 
-_NOTHING = _Nothing()
+NO_WORK = _NoWork()
 
 
 class CallerFactory(protocol.Factory):
