Work out turns from the present pass

Cause: a log line said that a place takes 0.016 s where it took 0.033: the time of a whole answer was smoothed over the few answers that one entry sees, from an assumed second, so that too many waited and were told to come back too soon.

--- a/libs/gateway/src/godwitdale_gateway/placing.py
+++ b/libs/gateway/src/godwitdale_gateway/placing.py
@@ -84,6 +84,7 @@
     pass_ended_s: float = 0.0
     started: int = 0
     tokens_per_pass: int = 0
+    usual_passes: float = 0.0
 
 
 class Placer:
@@ -140,6 +141,9 @@
                     _declared(engine)
                 )
                 service.tokens_per_pass = engine.steps_per_pass
+                service.usual_passes = (
+                    engine.usual_answer_tokens / engine.steps_per_pass
+                )
 
     def paused(self, name: str, gap_s: float, objective_s: float) -> None:
         """Takes a pause between two events of a stream into account.
@@ -168,6 +172,9 @@
         service.concurrency.observe(gap_s, running, tokens, objective_s)
         pass_s = service.concurrency.pass_s(running)
         service.pace.first_s = pass_s * _PASSES_TO_FIRST
+        if service.usual_passes > 0:
+            passes = _PASSES_TO_FIRST + service.usual_passes
+            service.pace.whole_s = pass_s * passes
         self.fill(name)
 
     def submit(self, seeker: Seeker) -> None:
--- a/libs/routing/src/godwitdale_routing/waiting.py
+++ b/libs/routing/src/godwitdale_routing/waiting.py
@@ -61,7 +61,10 @@
 
 
 class Pace:
-    """Smoothed times of one service, as this process sees them.
+    """Times of one service, as this process sees them.
+
+    Smoothed over the answers; where engines declare what a usual answer is,
+    worked out from the present pass instead, since an entry sees few answers.
 
     Attributes:
         first_s: From sending a request to the first part of its answer.
--- a/tests/unit/test_placing.py
+++ b/tests/unit/test_placing.py
@@ -118,6 +118,20 @@
     assert refusal.retry_after_s > 0
 
 
+def test_turns_follow_the_present_pass_before_any_answer_has_ended(clock):
+    """An entry that saw no answer end took turns for twice as frequent."""
+    entry = Entry(clock, endpoints=12)
+    engine = dataclasses.replace(ENGINE, usual_answer_tokens=139.0)
+    entry.placer.configure({SERVICE: engine})
+    for number in range(1, 30):
+        load = sharing.Load(number, {"e0": 3}, {}, {})
+        entry.board.put("peer", load, clock.seconds())
+        clock.advance(0.1)
+        entry.placer.paused(SERVICE, 0.1, 0.12)
+    whole_s = entry.placer.pace(SERVICE).whole_s
+    assert 28 * 0.1 <= whole_s <= 31 * 0.1
+
+
 def test_a_place_falls_to_the_more_urgent_request_of_another_entry(clock):
     entry = Entry(clock)
     running = [entry.seek() for _ in range(8)]
