--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -330,7 +330,7 @@
         service = self._job.service
         gap_s = self._times.part(now_s)
         if gap_s is None:
-            placer.pace(service).began(now_s - self._times.sent_s)
+            placer.began(service, now_s - self._times.sent_s)
             return
         objective_s = self._job.route.gap_objective_s
         if objective_s is not None:
@@ -411,7 +411,9 @@
             outcomes.not_run(
                 outcomes.Reason.OVERLOADED,
                 detail,
-                retry_after_s=refusing.OVERLOADED_RETRY_S,
+                retry_after_s=self._tools.placer.refused_retry_s(
+                    self._job.service, self._left_s()
+                ),
             )
         )
 
--- a/libs/gateway/src/godwitdale_gateway/placing.py
+++ b/libs/gateway/src/godwitdale_gateway/placing.py
@@ -23,6 +23,8 @@
 # An answer is refused at once if at the present pace it would take this many
 # times the time that is left; slow ranks recover, so that less is no proof.
 _TOO_LONG = 1.5
+# A row of refusals doubles the time at the most this often.
+_MOST_DOUBLINGS = 6
 # Share of the time left after which it is worth another try; spread, it stays
 # below the third of it up to which callers wait.
 _LATER_SHARE = 0.15
@@ -85,6 +87,7 @@
     started: int = 0
     tokens_per_pass: int = 0
     usual_passes: float = 0.0
+    refusals: int = 0
 
 
 class Placer:
@@ -177,6 +180,29 @@
             service.pace.whole_s = pass_s * passes
         self.fill(name)
 
+    def began(self, name: str, took_s: float) -> None:
+        """Notes that an endpoint of a service has begun to answer."""
+        service = self._service(name)
+        service.refusals = 0
+        service.pace.began(took_s)
+
+    def refused_retry_s(self, name: str, left_s: float) -> float:
+        """Returns when a request that an endpoint refused may come back.
+
+        One refusal says that this endpoint was full; a row of them, from any
+        endpoint, that the service as a whole takes no work, as a group does
+        while one of its ranks is gone.
+
+        Args:
+            name: Name of the service.
+            left_s: How long the caller will still wait.
+        """
+        service = self._service(name)
+        delay_s = _LEAST_RETRY_S * 2 ** min(service.refusals, _MOST_DOUBLINGS)
+        service.refusals += 1
+        most_s = max(_LEAST_RETRY_S, left_s * _LATER_SHARE)
+        return self._spread(min(delay_s, most_s))
+
     def submit(self, seeker: Seeker) -> None:
         """Places a request, lets it wait, or refuses it."""
         now_s = self._reactor.seconds()
--- a/libs/gateway/src/godwitdale_gateway/refusing.py
+++ b/libs/gateway/src/godwitdale_gateway/refusing.py
@@ -7,8 +7,6 @@
 
 # When endpoints that could not be reached are worth another try.
 UNREACHED_RETRY_S = 0.5
-# When a full endpoint is worth another try: about the length of an answer.
-OVERLOADED_RETRY_S = 0.3
 # When an entry that cannot confirm keys is worth another try elsewhere.
 UNCONFIRMED_RETRY_S = 0.05
 
--- /dev/null
+++ b/tests/unit/test_peers.py
@@ -0,0 +1,185 @@
+"""Entries that tell each other, over datagrams that may be lost."""
+
+import pytest
+from twisted.internet import task
+
+from godwitdale_gateway import peers
+from godwitdale_http import pool
+from godwitdale_observe import logs
+from godwitdale_routing import sharing
+from godwitdale_routing import waiting
+
+TOPIC = "configuration"
+
+
+class Network:
+    """Carries datagrams between entries on one clock."""
+
+    def __init__(self):
+        self.clock = task.Clock()
+        self.clock.advance(1000)
+        self.entries = {}
+        self.sent = []
+        self.is_cut = False
+
+    def deliver(self, sender, data, target):
+        self.sent.append((sender, target, data))
+        entry = self.entries.get(target)
+        if entry is not None and not self.is_cut:
+            self.clock.callLater(
+                0.0005, entry.peers.datagramReceived, data, sender
+            )
+
+    def run(self, seconds, step_s=0.1):
+        for _ in range(int(seconds / step_s)):
+            for entry in self.entries.values():
+                entry.peers.tick()
+            self.clock.advance(step_s)
+
+
+class Entry:
+    """One entry: its load, its copies, and what it heard."""
+
+    def __init__(self, network, name):
+        self.address = (name, 7)
+        self.load = peers.OwnLoad({}, {}, {})
+        self.position = 10
+        self.age = 1.0
+        self.told_positions = []
+        self.confirmations = []
+        self.board = sharing.LoadBoard()
+        self.network = network
+        self.peers = peers.Peers(
+            name,
+            self.board,
+            lambda: self.load,
+            self,
+            lambda: None,
+            network.clock,
+            logs.EventLog(),
+        )
+        self.peers.transport = self
+        network.entries[self.address] = self
+
+    def write(self, data, target):
+        self.network.deliver(self.address, data, target)
+
+    def positions(self):
+        return {TOPIC: self.position}
+
+    def told(self, positions):
+        self.told_positions.append(positions[TOPIC])
+
+    def age_s(self, topic):
+        return self.age
+
+    def confirmed(self, topic, position, as_of_s):
+        self.confirmations.append((position, as_of_s))
+
+
+@pytest.fixture
+def network():
+    return Network()
+
+
+def meet(network, *names):
+    entries = [Entry(network, name) for name in names]
+    addresses = {pool.Address(*entry.address) for entry in entries}
+    for entry in entries:
+        entry.peers.introduce(addresses - {pool.Address(*entry.address)})
+    network.run(1)
+    return entries
+
+
+def test_entries_that_one_of_them_knows_hear_of_each_other(network):
+    first, second = Entry(network, "a"), Entry(network, "b")
+    second.peers.introduce({pool.Address("a", 7)})
+    network.run(1)
+    assert first.peers.count == second.peers.count == 2
+
+
+def test_load_and_waiting_requests_arrive(network):
+    first, second = meet(network, "a", "b")
+    urgent = waiting.Urgency(False, 1, network.clock.seconds() + 0.2)
+    first.load = peers.OwnLoad({"e1": 3}, {"llm": [urgent]}, {"llm": 500})
+    first.peers.changed()
+    network.clock.advance(0.01)
+    network.clock.advance(0.01)
+    assert second.board.in_work("e1") == 3
+    (head,) = second.board.heads("llm", network.clock.seconds())
+    assert head.priority == 1
+    assert abs(head.due_s - urgent.due_s) < 0.05
+
+
+def test_an_entry_that_falls_silent_is_forgotten(network):
+    first, second = meet(network, "a", "b")
+    first.load = peers.OwnLoad({"e1": 3}, {}, {})
+    first.peers.changed()
+    network.run(0.5)
+    network.is_cut = True
+    network.run(2)
+    assert second.board.in_work("e1") == 3
+    network.run(2)
+    assert second.board.in_work("e1") == 0
+    assert second.peers.count == 1
+
+
+def test_an_entry_that_stops_is_forgotten_at_once(network):
+    first, second = meet(network, "a", "b")
+    first.load = peers.OwnLoad({"e1": 3}, {}, {})
+    first.peers.changed()
+    network.run(0.5)
+    first.peers.leave()
+    network.clock.advance(0.01)
+    assert second.board.in_work("e1") == 0
+
+
+def test_every_message_says_how_far_its_sender_has_read(network):
+    first, second = meet(network, "a", "b")
+    first.position = 42
+    network.run(2)
+    assert second.told_positions[-1] == 42
+
+
+def test_a_confirmation_counts_from_the_question_less_its_age(network):
+    first, second = meet(network, "a", "b")
+    first.age = 1.5
+    asked_s = network.clock.seconds()
+    assert second.peers.ask(TOPIC)
+    network.clock.advance(0.4)
+    network.clock.advance(0.4)
+    ((position, as_of_s),) = second.confirmations
+    assert position == first.position
+    assert as_of_s <= asked_s - 1.5
+
+
+def test_the_entry_with_the_freshest_copy_is_asked(network):
+    entries = meet(network, "a", "b", "c", "d")
+    for entry, age in zip(entries, (9.0, 8.0, 0.1, 7.0), strict=True):
+        entry.age = age
+    network.run(3)
+    entries[0].peers.ask(TOPIC)
+    network.run(0.2)
+    freshest = max(as_of_s for _, as_of_s in entries[0].confirmations)
+    assert network.clock.seconds() - freshest < 1
+
+
+def test_nobody_is_asked_where_nobody_is_heard(network):
+    assert not Entry(network, "a").peers.ask(TOPIC)
+
+
+def test_unreadable_datagrams_do_no_harm(network):
+    first, _ = meet(network, "a", "b")
+    first.peers.datagramReceived(b"\xff\x00 noise", ("b", 7))
+    assert first.peers.count == 2
+
+
+def test_telling_stays_within_its_budget(network):
+    entries = meet(network, *"abcdefghij")
+    entries[0].load = peers.OwnLoad({f"e{n}": n for n in range(60)}, {}, {})
+    network.sent.clear()
+    for _ in range(2000):
+        entries[0].peers.changed()
+        network.clock.advance(0.005)
+    told = [data for who, _, data in network.sent if who == ("a", 7)]
+    assert sum(map(len, told)) < 20_000 * (10 + 2)
--- a/tests/unit/test_placing.py
+++ b/tests/unit/test_placing.py
@@ -132,6 +132,17 @@
     assert 28 * 0.1 <= whole_s <= 31 * 0.1
 
 
+def test_a_service_that_refuses_everything_is_left_alone_for_longer(clock):
+    """A group takes no work while a rank is gone; callers come back once."""
+    entry = Entry(clock)
+    delays_s = [entry.placer.refused_retry_s(SERVICE, 8.0) for _ in range(8)]
+    assert delays_s[0] < 0.7
+    assert max(delays_s) > 1.0
+    assert max(delays_s) <= 8.0 / 3
+    entry.placer.began(SERVICE, 0.2)
+    assert entry.placer.refused_retry_s(SERVICE, 8.0) < 0.7
+
+
 def test_a_place_falls_to_the_more_urgent_request_of_another_entry(clock):
     entry = Entry(clock)
     running = [entry.seek() for _ in range(8)]
