--- a/libs/gateway/src/godwitdale_gateway/placing.py
+++ b/libs/gateway/src/godwitdale_gateway/placing.py
@@ -39,6 +39,8 @@
 # Callers that were refused come back spread over this much of the time after
 # which there will be room, so that they do not meet again.
 _RETRY_SPREAD = 1.0
+# Shortest time after which a caller is told to come back: several passes, so
+# that some places have become free.
 _LEAST_RETRY_S = 0.3
 
 
