Serve each rule of the platform's program from one place

Behaviour is the same.

Ruled out: joining the caller limits of routing with the bounds of the HTTP library, which would make one of the two depend on the other.

--- a/libs/gateway/src/godwitdale_gateway/dialect.py
+++ b/libs/gateway/src/godwitdale_gateway/dialect.py
@@ -39,14 +39,12 @@
         account: Name of the client account, or None on public routes.
         time_left_s: Time after which the endpoint may stop.
         last_event_id: Event after which a stream goes on, or None.
-        priority: Rank in the engine's queue, 0 first, or None for its default.
     """
 
     endpoint_id: str
     account: str | None
     time_left_s: float
     last_event_id: int | None
-    priority: int | None = None
 
 
 class Standing(enum.Enum):
--- a/libs/gateway/src/godwitdale_gateway/following.py
+++ b/libs/gateway/src/godwitdale_gateway/following.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from twisted.internet import defer
+from twisted.internet import task
 
 from godwitdale_observe import logs
 from godwitdale_routing import retries
@@ -156,14 +157,10 @@
                 continue
             except exceptions.PlatformUnavailableError as failed:
                 self._note_failure(failed)
-                await self._sleep(
-                    retries.backoff_s(
-                        self._failures,
-                        _BACKOFF_BASE_S,
-                        _BACKOFF_MOST_S,
-                        self._rng,
-                    )
+                delay_s = retries.backoff_s(
+                    self._failures, _BACKOFF_BASE_S, _BACKOFF_MOST_S, self._rng
                 )
+                await task.deferLater(self._reactor, delay_s)
             else:
                 self._note_success()
 
@@ -223,8 +220,3 @@
                 next_offset=self._next,
             )
         self._failures = 0
-
-    def _sleep(self, delay_s: float) -> "defer.Deferred[None]":
-        done: defer.Deferred[None] = defer.Deferred()
-        self._reactor.callLater(delay_s, done.callback, None)
-        return done
--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -140,6 +140,7 @@
         self._status = 0
         self._headers: headers_lib.Headers = []
         self._standing = dialect_lib.Standing.FOREIGN
+        self._is_live_stream = False
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._splitter = events_lib.Splitter()
@@ -203,11 +204,10 @@
             return
         self._unreached += 1
         detail = f"no connection: {reason.getErrorMessage()}"
+        self._failed_attempt(detail)
         if self._unreached < _MOST_UNREACHED:
-            self._failed_attempt(detail)
             self._next_attempt()
             return
-        self._failed_attempt(detail)
         self._give_up(
             outcomes.not_run(
                 outcomes.Reason.ENDPOINT_LOST,
@@ -252,12 +252,13 @@
         self._status = status
         self._headers = headers
         self._standing = self._tools.dialect.standing(status, headers)
+        self._is_live_stream = self._is_event_stream(headers)
         if self._entry is not None and not self._is_refused():
             self._entry.tracked.health.succeeded()
 
     def answer_data(self, data: bytes) -> None:
         """Takes a part of the body."""
-        if self._is_live_stream():
+        if self._is_live_stream:
             for event in self._splitter.feed(data):
                 self._pass_on(event)
             return
@@ -302,8 +303,8 @@
             dialect_lib.Standing.MISDIRECTED,
         )
 
-    def _is_live_stream(self) -> bool:
-        kind = headers_lib.first(self._headers, b"content-type") or b""
+    def _is_event_stream(self, headers: headers_lib.Headers) -> bool:
+        kind = headers_lib.first(headers, b"content-type") or b""
         return (
             self._job.route.kind is routes.Kind.STREAM
             and self._standing is dialect_lib.Standing.SUCCESS
@@ -362,7 +363,7 @@
         )
 
     def _finish_success(self) -> None:
-        if not self._is_live_stream():
+        if not self._is_live_stream:
             self._note_part()
             self._note_end()
             self._answer_whole()
--- a/libs/gateway/src/godwitdale_gateway/placing.py
+++ b/libs/gateway/src/godwitdale_gateway/placing.py
@@ -169,8 +169,7 @@
         if now_s - service.pass_ended_s < gap_s * _SAME_PASS_SHARE:
             return
         service.pass_ended_s = now_s
-        entries = self._directory.of_service(name)
-        running = sum(self._taken(entry) for entry in entries)
+        running = self._running(name)
         tokens = self._board.tokens_between(
             name, now_s - 2 * gap_s, now_s - gap_s
         )
@@ -244,10 +243,11 @@
         for own, seeker in service.line.order(service.pace, now_s):
             if not self._has_turn(seeker, own, now_s):
                 return
-            if self._candidates(seeker, now_s):
+            candidates = self._candidates(seeker, now_s)
+            if candidates:
                 self._disarm(seeker)
                 service.line.remove(seeker)
-                self._place(seeker, now_s)
+                self._place(seeker, candidates, now_s)
 
     def fill_all(self) -> None:
         """Does so for every service."""
@@ -258,7 +258,7 @@
         """Logs what decides on places in each service that is in use."""
         for name, service in self._services.items():
             entries = self._directory.of_service(name)
-            running = sum(self._taken(entry) for entry in entries)
+            running = self._running(name)
             if running == 0 or service.concurrency is None:
                 continue
             self._log.info(
@@ -308,6 +308,11 @@
     def _taken(self, entry: directory_lib.Entry) -> int:
         return entry.tracked.sent + self._board.in_work(entry.endpoint.id)
 
+    def _running(self, name: str) -> int:
+        """Returns the requests in work at a service, of all entries."""
+        entries = self._directory.of_service(name)
+        return sum(self._taken(entry) for entry in entries)
+
     def _free(self, entry: directory_lib.Entry) -> int:
         return max(0, entry.endpoint.slots - self._taken(entry))
 
@@ -381,13 +386,18 @@
             return False
         if not self._has_turn(seeker, own, now_s):
             return False
-        if not self._candidates(seeker, now_s):
+        candidates = self._candidates(seeker, now_s)
+        if not candidates:
             return False
-        self._place(seeker, now_s)
+        self._place(seeker, candidates, now_s)
         return True
 
-    def _place(self, seeker: Seeker, now_s: float) -> None:
-        candidates = self._candidates(seeker, now_s)
+    def _place(
+        self,
+        seeker: Seeker,
+        candidates: list[directory_lib.Entry],
+        now_s: float,
+    ) -> None:
         for entry in candidates:
             entry.tracked.is_connected = self._has_idle(entry.endpoint.id)
             entry.tracked.report = dataclasses.replace(
@@ -411,9 +421,7 @@
         service = self._service(want.service)
         if service.concurrency is None or service.tokens_per_pass <= 0:
             return None
-        entries = self._directory.of_service(want.service)
-        running = sum(self._taken(entry) for entry in entries)
-        pass_s = service.concurrency.pass_s(running)
+        pass_s = service.concurrency.pass_s(self._running(want.service))
         whole_s = pass_s * want.answer_tokens / service.tokens_per_pass
         left_s = want.deadline_s - now_s
         if whole_s <= left_s * _TOO_LONG:
