Keep the experts of a group where the load asks for them

Change: the oldest entry reads one rank's counts each second while passes take over half of the longest pause that is on time, plans, and changes the map where that takes a fifth off; a slow rank loses its experts. Changes are announced; another entry ends one whose holder is gone; after a change earlier pauses fade from the limit of concurrency.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,7 +11,7 @@
   cp deploy/requirements.txt "$stamp"
 fi
 rm -rf "$deps"/godwitdale_*
-for library in verdicts routing observe process http gateway; do
+for library in verdicts routing experts observe process http gateway; do
   cp -R libs/"$library"/src/godwitdale_* "$deps"
 done
 cp -R platform/src/godwitdale_adapter "$deps"
--- /dev/null
+++ b/libs/gateway/src/godwitdale_gateway/changing.py
@@ -0,0 +1,315 @@
+"""Gives the orders that bring a group to a new expert map, or back."""
+
+from collections.abc import Iterable
+import dataclasses
+import math
+from typing import Any
+from typing import Protocol
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from godwitdale_experts import changeover
+from godwitdale_gateway import directory as directory_lib
+from godwitdale_gateway import groups
+from godwitdale_gateway import peers
+from godwitdale_gateway import ranks as ranks_lib
+from godwitdale_observe import logs
+from godwitdale_routing import routes
+
+# Time from the last look at a group to the change: all ranks have to be armed
+# by then.
+_LEAD_S = 0.4
+# Further passes after which a change is tried again that came too late, and how
+# often.
+_POSTPONED_PASSES = 40
+_MOST_POSTPONED = 3
+# No pass of any engine is taken to be shorter.
+_LEAST_PASS_S = 0.005
+# How long the phases of a change may take before it is taken back, and how
+# long an order that must not be given up is repeated.
+_PREPARE_S = 2.0
+_ARM_S = 1.5
+_SETTLE_S = 30.0
+# Pause before orders that were not answered are given again.
+_AGAIN_S = 0.05
+# Reports may be this much older than is declared.
+_REPORT_SLACK_S = 0.1
+# While experts are copied, passes take longer, and so do the copies.
+_COPY_SLACK = 1.2
+
+
+class Entries(Protocol):
+    """The other entries."""
+
+    @property
+    def seniority(self) -> int:
+        """Place of this entry among those that stay, the oldest first."""
+
+    @property
+    def is_senior(self) -> bool:
+        """Whether this entry is the oldest of those that stay."""
+
+    def changes(self) -> list[peers.Change]:
+        """Returns the changes that other entries have announced."""
+
+    def announce(self, change: peers.Change | None) -> None:
+        """Tells the others of a change, or that it has come to its end."""
+
+
+class Claims(Protocol):
+    """Where the duty over expert maps is taken."""
+
+    async def claim(self, name: str) -> int:
+        """Takes the duty over; returns a generation.
+
+        Raises ``exceptions.PlatformUnavailableError``.
+        """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pass:
+    """What is known of the passes of a group.
+
+    Attributes:
+        time_s: How long one takes at present.
+        lag_s: How old what a rank reports may be.
+    """
+
+    time_s: float
+    lag_s: float
+
+
+class Changer:
+    """Changes the maps of groups; one change runs at a time."""
+
+    def __init__(
+        self,
+        name: str,
+        ranks: ranks_lib.Ranks,
+        looker: groups.Looker,
+        entries: Entries,
+        claims: Claims,
+        reactor: Any,
+        log: logs.EventLog,
+    ) -> None:
+        """Prepares; nothing is sent yet.
+
+        Args:
+            name: Name of the instance.
+            ranks: Speaks to the ranks.
+            looker: Looks at groups.
+            entries: The other entries.
+            claims: Where the duty is taken.
+            reactor: The Twisted reactor.
+            log: The log of decisions.
+        """
+        self._name = name
+        self._ranks = ranks
+        self._looker = looker
+        self._entries = entries
+        self._claims = claims
+        self._reactor = reactor
+        self._log = log
+        self._fences_left = range(0)
+
+    async def change(
+        self,
+        service: str,
+        group: groups.Group,
+        planned: ranks_lib.ExpertMap,
+        layout: routes.ExpertLayout,
+        pass_s: float,
+    ) -> changeover.Phase:
+        """Brings a group to a new map; returns how that ended.
+
+        Args:
+            service: Name of the service.
+            group: The group; the map in force is known.
+            planned: The new map.
+            layout: How the experts may lie.
+            pass_s: How long a pass takes at present.
+        """
+        fence = await self._fences()
+        change = group.change_to(fence, fence)
+        began_s = self._reactor.seconds()
+        await self._drive(change, group.seen.members, planned, _PREPARE_S)
+        # Where answers are lost, to arm takes about as long as to prepare.
+        lead_s = _LEAD_S + self._reactor.seconds() - began_s
+        if change.phase is changeover.Phase.COPYING:
+            copied = most_copied(group.experts or (), planned)
+            copy_s = copied * layout.copy_s * _COPY_SLACK
+            await self._sleep(copy_s + layout.report_lag_s)
+        postponed = 0
+        while change.phase is changeover.Phase.COPYING:
+            if postponed > _MOST_POSTPONED:
+                change.give_up()
+                break
+            step = await self._next_step(
+                group, Pass(pass_s, layout.report_lag_s), lead_s
+            )
+            change.copied(step + postponed * _POSTPONED_PASSES)
+            self._entries.announce(peers.Change(service, change.plan()))
+            await self._drive(change, group.seen.members, planned, _ARM_S)
+            self._entries.announce(None)
+            postponed += 1
+        self._note("experts_change", service, change)
+        if change.phase is changeover.Phase.LOST:
+            self._fences_left = range(0)
+        if change.phase is changeover.Phase.CHANGED:
+            # A rank that is armed takes no further change.
+            await self._sleep(lead_s)
+        return change.phase
+
+    async def take_over(
+        self,
+        announced: peers.Change,
+        members: Iterable[directory_lib.Endpoint],
+    ) -> None:
+        """Brings a change to its end that another entry has begun.
+
+        Args:
+            announced: What that entry has told.
+            members: The engines of the group, as far as they are known.
+        """
+        plan = dataclasses.replace(
+            announced.plan,
+            fence=announced.plan.fence + changeover.FENCES_TO_TAKEOVER,
+        )
+        change = changeover.Changeover.takeover(plan)
+        self._entries.announce(peers.Change(announced.service, plan))
+        await self._drive(change, members, (), _ARM_S)
+        self._entries.announce(None)
+        self._note("experts_taken_over", announced.service, change)
+
+    async def recover(
+        self, service: str, seen: groups.Seen, layout: routes.ExpertLayout
+    ) -> None:
+        """Takes back a change that nobody has announced.
+
+        Args:
+            service: Name of the service.
+            seen: The group; it is held, or ranks are armed.
+            layout: How the experts may lie.
+        """
+        fence = await self._fences()
+        change = groups.recovery(seen, fence, fence)
+        await self._drive(change, seen.members, (), _SETTLE_S)
+        while change.phase is changeover.Phase.CHECKING:
+            await self._sleep(layout.report_lag_s + _REPORT_SLACK_S)
+            for again in await self._looker.look(service):
+                if again.is_same(seen):
+                    armed = again.armed
+                    change.checked(None if armed is None else armed.version)
+            await self._drive(change, seen.members, (), _SETTLE_S)
+        self._note("experts_freed", service, change)
+
+    async def _next_step(
+        self, group: groups.Group, passes: Pass, lead_s: float
+    ) -> int:
+        """Returns a pass that the group begins about then, or later."""
+        report = await self._ranks.report(group.sampled)
+        step = group.seen.step if report is None else report.step
+        pass_s = max(passes.time_s, _LEAST_PASS_S)
+        return step + math.ceil((passes.lag_s + lead_s) / pass_s)
+
+    async def _fences(self) -> int:
+        """Returns the first of the fencing numbers for a change."""
+        used = changeover.FENCES_PER_CHANGE
+        if len(self._fences_left) < used:
+            generation = await self._claims.claim(self._name)
+            first = generation * changeover.FENCES_PER_GENERATION
+            self._fences_left = range(
+                first + 1, first + changeover.FENCES_PER_GENERATION
+            )
+            self._log.info("experts_claimed", generation=generation)
+        fence = self._fences_left[0]
+        self._fences_left = self._fences_left[used:]
+        return fence
+
+    async def _drive(
+        self,
+        change: changeover.Changeover,
+        members: Iterable[directory_lib.Endpoint],
+        experts: ranks_lib.ExpertMap,
+        limit_s: float,
+    ) -> None:
+        """Gives orders until the change waits for something else, or ends."""
+        endpoints = {member.id: member for member in members}
+        began_s = self._reactor.seconds()
+        has_given_up = False
+        while orders := change.orders():
+            phase = change.phase
+            await together(
+                self._order(change, endpoints.get(order.rank), order, experts)
+                for order in orders
+            )
+            elapsed_s = self._reactor.seconds() - began_s
+            if elapsed_s > _SETTLE_S:
+                self._log.warning("experts_unsettled", phase=phase.value)
+                return
+            if elapsed_s > limit_s and not has_given_up:
+                has_given_up = True
+                change.give_up()
+            if change.phase is phase:
+                await self._sleep(_AGAIN_S)
+
+    async def _order(
+        self,
+        change: changeover.Changeover,
+        endpoint: directory_lib.Endpoint | None,
+        order: changeover.Order,
+        experts: ranks_lib.ExpertMap,
+    ) -> None:
+        # An engine that is not listed any more takes its group along.
+        answer = changeover.Answer.CONFLICT
+        if endpoint is not None:
+            answer = await self._ranks.order(endpoint, order, experts)
+        if answer is not changeover.Answer.DONE:
+            self._log.info(
+                "order_not_done",
+                endpoint=order.rank,
+                operation=order.operation.value,
+                version=order.version,
+                step=order.step,
+                answer=answer.value,
+            )
+        change.answered(order, answer)
+
+    def _note(
+        self, event: str, service: str, change: changeover.Changeover
+    ) -> None:
+        self._log.info(
+            event,
+            service=service,
+            version=change.version,
+            step=change.step,
+            outcome=change.phase.value,
+        )
+
+    def _sleep(self, delay_s: float) -> "defer.Deferred[None]":
+        return task.deferLater(self._reactor, delay_s)
+
+
+def most_copied(old: ranks_lib.ExpertMap, new: ranks_lib.ExpertMap) -> int:
+    """Returns the most experts that any rank has to copy, over all sets.
+
+    Args:
+        old: The map in force.
+        new: The map that replaces it.
+    """
+    copied = [0] * len(new[0])
+    for old_set, new_set in zip(old, new, strict=True):
+        for rank, held in enumerate(new_set):
+            copied[rank] += len(set(held) - set(old_set[rank]))
+    return max(copied)
+
+
+async def together(running: Iterable[Any]) -> list[Any]:
+    """Awaits coroutines side by side; raises what the first of them raised."""
+    deferreds = [defer.ensureDeferred(each) for each in running]
+    try:
+        return await defer.gatherResults(deferreds, consumeErrors=True)
+    except defer.FirstError as first:
+        first.subFailure.raiseException()
+        raise
--- /dev/null
+++ b/libs/gateway/src/godwitdale_gateway/expert_maps.py
@@ -0,0 +1,303 @@
+"""Keeps the experts of each group where the load asks for them.
+
+The oldest entry has the duty. While a service is busy it reads the counts of
+one rank, plans replicas of the experts in demand, and changes the map of a
+group when that takes enough off its most loaded rank. Two entries that both
+believe to have the duty do no harm: the fencing numbers of the later claim shut
+out the earlier one.
+
+Every entry watches over groups in which no pass ends any more, so that a group
+does not stay held when the entry that held it is gone.
+"""
+
+from collections.abc import Mapping
+import random
+from typing import Any
+from typing import Protocol
+
+from twisted.internet import task
+
+from godwitdale_experts import changeover
+from godwitdale_experts import replication
+from godwitdale_gateway import changing
+from godwitdale_gateway import groups
+from godwitdale_gateway import ranks as ranks_lib
+from godwitdale_observe import logs
+from godwitdale_routing import routes
+from godwitdale_verdicts import exceptions
+
+# How often demand is read while a service is busy: what is in demand changes
+# within seconds.
+_PERIOD_S = 1.0
+# A service is busy where a pass takes this share of the longest pause that is
+# on time. Below it even a very uneven load makes no answer late.
+_BUSY_STRAIN = 0.5
+# Where it takes this share, a rank may have turned slow; all are looked at.
+_LATE_STRAIN = 1.0
+# A change has to take this share off the time of the most loaded ranks: below
+# it, copies that slow all passes down for a second or two cost more.
+_LEAST_GAIN = 0.2
+# A group in which no pass has ended for this long, and for this many times its
+# usual pass, while streams wait may be held. The entries look one after the
+# other, and one has freed the group before the next one's turn.
+_STALLED_S = 0.8
+_STALLED_PASSES = 6
+_STALLED_STEP_S = 1.2
+# The same where an entry has announced a change that has not come to its end.
+_CHANGING_S = 0.25
+_CHANGING_PASSES = 3
+_CHANGING_STEP_S = 0.3
+_WATCH_S = 0.1
+# After a change that did not come about, and after another entry has shown
+# that it has the duty.
+_REST_S = 3.0
+_STAND_DOWN_S = 3.0
+
+
+class Load(Protocol):
+    """What the placing of requests knows of a service."""
+
+    def stalled_s(self, service: str) -> float:
+        """Returns for how long streams have waited for a pass to end."""
+
+    def pass_s(self, service: str) -> float:
+        """Returns how long a pass takes at present, or 0."""
+
+    def strain(self, service: str) -> float:
+        """Returns the time of a pass over the longest that is on time."""
+
+
+class ExpertMaps:
+    """The task that moves experts."""
+
+    def __init__(
+        self,
+        ranks: ranks_lib.Ranks,
+        looker: groups.Looker,
+        changer: changing.Changer,
+        entries: changing.Entries,
+        load: Load,
+        reactor: Any,
+        rng: random.Random,
+        log: logs.EventLog,
+    ) -> None:
+        """Prepares; nothing is sent yet.
+
+        Args:
+            ranks: Speaks to the ranks.
+            looker: Looks at groups.
+            changer: Changes their maps.
+            entries: The other entries.
+            load: What the placing of requests knows.
+            reactor: The Twisted reactor.
+            rng: Picks the rank whose counts are read.
+            log: The log of decisions.
+        """
+        self._ranks = ranks
+        self._looker = looker
+        self._changer = changer
+        self._entries = entries
+        self._load = load
+        self._reactor = reactor
+        self._rng = rng
+        self._log = log
+        self._layouts: dict[str, routes.ExpertLayout] = {}
+        self._groups: dict[str, dict[str, groups.Group]] = {}
+        self._looked_at: dict[str, frozenset[str]] = {}
+        self._resting_until_s = 0.0
+        self._is_stopped = False
+
+    def configure(self, engines: Mapping[str, routes.Engine]) -> None:
+        """Takes over what is declared of the engines.
+
+        Args:
+            engines: By name of the service.
+        """
+        self._layouts = {
+            name: engine.layout
+            for name, engine in engines.items()
+            if engine.layout is not None
+        }
+
+    def stop(self) -> None:
+        """Begins no further change; one that holds a group is ended."""
+        self._is_stopped = True
+
+    async def run(self) -> None:
+        """Moves experts until it is stopped."""
+        while not self._is_stopped:
+            await task.deferLater(self._reactor, _PERIOD_S)
+            if not self._has_duty():
+                # Another entry may change maps meanwhile.
+                self._groups.clear()
+                self._looked_at.clear()
+                continue
+            for service, layout in list(self._layouts.items()):
+                if self._load.strain(service) > _BUSY_STRAIN:
+                    await self._tend(service, layout)
+
+    async def watch(self) -> None:
+        """Frees groups that were left held, until it is stopped."""
+        while not self._is_stopped:
+            await task.deferLater(self._reactor, _WATCH_S)
+            for service, layout in list(self._layouts.items()):
+                try:
+                    await self._watch(service, layout)
+                except exceptions.PlatformUnavailableError as failed:
+                    self._log.warning(
+                        "experts_not_freed", service=service, detail=str(failed)
+                    )
+
+    def _has_duty(self) -> bool:
+        now_s = self._reactor.seconds()
+        is_resting = now_s < self._resting_until_s
+        return self._entries.is_senior and not is_resting
+
+    async def _watch(self, service: str, layout: routes.ExpertLayout) -> None:
+        stalled_s = self._load.stalled_s(service)
+        pass_s = self._load.pass_s(service)
+        place = self._entries.seniority
+        for announced in self._entries.changes():
+            patience_s = max(_CHANGING_S, _CHANGING_PASSES * pass_s)
+            if announced.service != service:
+                continue
+            if stalled_s > patience_s + place * _CHANGING_STEP_S:
+                members = self._looker.members(service)
+                await self._changer.take_over(announced, members)
+                await task.deferLater(self._reactor, _CHANGING_STEP_S)
+                return
+        patience_s = max(_STALLED_S, _STALLED_PASSES * pass_s)
+        if stalled_s > patience_s + place * _STALLED_STEP_S:
+            for seen in await self._looker.look(service):
+                if seen.halt is not None:
+                    await self._changer.recover(service, seen, layout)
+            await task.deferLater(self._reactor, _STALLED_STEP_S)
+
+    async def _tend(self, service: str, layout: routes.ExpertLayout) -> None:
+        try:
+            is_late = self._load.strain(service) > _LATE_STRAIN
+            if is_late or self._looked_at.get(service) != self._ids(service):
+                await self._meet(service, layout)
+            for group in list(self._groups.get(service, {}).values()):
+                await self._tend_group(service, group, layout)
+        except exceptions.PlatformUnavailableError as failed:
+            self._looked_at.pop(service, None)
+            self._log.info(
+                "experts_unread", service=service, detail=str(failed)
+            )
+
+    def _ids(self, service: str) -> frozenset[str]:
+        return frozenset(each.id for each in self._looker.members(service))
+
+    async def _meet(self, service: str, layout: routes.ExpertLayout) -> None:
+        """Looks at all groups of a service."""
+        ids = self._ids(service)
+        seen = await self._looker.look(service)
+        known = self._groups.get(service, {})
+        self._groups[service] = {
+            each.name: _same_life(known.get(each.name), each)
+            or groups.Group(each, layout, self._rng.choice(each.members))
+            for each in seen
+        }
+        if sum(len(each.members) for each in seen) == len(ids):
+            self._looked_at[service] = ids
+
+    async def _tend_group(
+        self, service: str, group: groups.Group, layout: routes.ExpertLayout
+    ) -> None:
+        if group.seen.halt is not None:
+            # Another entry's change is about to take effect.
+            self._looked_at.pop(service, None)
+            return
+        counts = await self._ranks.counts(group.sampled)
+        if counts.epoch != group.seen.epoch:
+            self._looked_at.pop(service, None)
+            return
+        now_s = self._reactor.seconds()
+        loads = group.demand.observe(group.sampled.id, counts.chosen, now_s)
+        if loads is None or now_s < group.resting_until_s:
+            return
+        if group.experts is None:
+            await self._read_map(group)
+        planned = await self._plan(service, group, loads, layout)
+        if planned is None or not self._has_duty() or self._is_stopped:
+            return
+        ended = await self._changer.change(
+            service, group, planned, layout, self._load.pass_s(service)
+        )
+        self._take_end(service, group, planned, ended)
+
+    def _take_end(
+        self,
+        service: str,
+        group: groups.Group,
+        planned: ranks_lib.ExpertMap,
+        ended: changeover.Phase,
+    ) -> None:
+        now_s = self._reactor.seconds()
+        if ended is changeover.Phase.CHANGED:
+            group.experts = planned
+            group.failures = 0
+            return
+        group.failures += 1
+        group.resting_until_s = now_s + _REST_S * group.failures
+        group.experts = None
+        self._looked_at.pop(service, None)
+        if ended is changeover.Phase.LOST:
+            self._resting_until_s = now_s + _STAND_DOWN_S
+
+    async def _read_map(self, group: groups.Group) -> None:
+        held = await changing.together(
+            self._ranks.held(each) for each in group.seen.members
+        )
+        if len({(each.epoch, each.version) for each in held}) > 1:
+            raise exceptions.PlatformUnavailableError(
+                "the ranks of a group tell of different maps"
+            )
+        group.experts = tuple(
+            zip(*(each.experts for each in held), strict=True)
+        )
+
+    async def _plan(
+        self,
+        service: str,
+        group: groups.Group,
+        loads: list[list[float]],
+        layout: routes.ExpertLayout,
+    ) -> ranks_lib.ExpertMap | None:
+        """Returns a map that is worth the change, or None."""
+        assert group.experts is not None
+        paces = group.seen.paces
+        room = replication.Room(layout.places, layout.most_new)
+        planned = []
+        copies = 0
+        for holders, load in zip(group.experts, loads, strict=True):
+            planner = replication.Planner(holders, load, paces, room)
+            while planner.step():
+                # Requests are forwarded between two moves.
+                await task.deferLater(self._reactor, 0)
+            planned.append(planner.holders())
+            copies += planner.copies
+        before = replication.skew(group.experts, loads, paces)
+        after = replication.skew(planned, loads, paces)
+        is_worth = after < before * (1 - _LEAST_GAIN)
+        self._log.info(
+            "experts_planned",
+            service=service,
+            group=group.seen.name,
+            strain=round(self._load.strain(service), 2),
+            skew=round(before, 2),
+            planned_skew=round(after, 2),
+            copies=copies,
+            is_worth=is_worth,
+        )
+        return tuple(planned) if is_worth else None
+
+
+def _same_life(
+    known: groups.Group | None, seen: groups.Seen
+) -> groups.Group | None:
+    if known is None or not known.seen.is_same(seen):
+        return None
+    known.seen = seen
+    return known
--- a/libs/gateway/src/godwitdale_gateway/gateway.py
+++ b/libs/gateway/src/godwitdale_gateway/gateway.py
@@ -2,16 +2,20 @@
 
 import functools
 import random
+import time
 from typing import Any
 
 from twisted.internet import defer
 from twisted.internet import task
 
 from godwitdale_gateway import admission
+from godwitdale_gateway import changing
 from godwitdale_gateway import dialect as dialect_lib
 from godwitdale_gateway import directory as directory_lib
+from godwitdale_gateway import expert_maps
 from godwitdale_gateway import following
 from godwitdale_gateway import forwarding
+from godwitdale_gateway import groups
 from godwitdale_gateway import knowledge
 from godwitdale_gateway import peers as peers_lib
 from godwitdale_gateway import placing
@@ -124,15 +128,36 @@
             self._load_changed,
         )
         self._peers = peers_lib.Peers(
-            identifiers.new_incarnation(),
+            identifiers.new_life(time.time()),
             self._board,
             self._placer.load,
             knowledge.Copies(self._configuration, self._followers, reactor),
             self._placer.fill_all,
+            self._placer.experts_moved,
             reactor,
             self._log,
         )
         self._registry = sources.registry
+        looker = groups.Looker(sources.ranks, self._directory, self._log)
+        changer = changing.Changer(
+            settings.name,
+            sources.ranks,
+            looker,
+            self._peers,
+            sources.registry,
+            reactor,
+            self._log,
+        )
+        self._expert_maps = expert_maps.ExpertMaps(
+            sources.ranks,
+            looker,
+            changer,
+            self._peers,
+            self._placer,
+            reactor,
+            self._rng,
+            self._log,
+        )
         self._budgets = retries.BudgetsByService(
             settings.retry_share * _RETRY_SHARE, self._retry_burst()
         )
@@ -193,6 +218,8 @@
         for follower in self._followers:
             self._run(follower.run())
         self._run(self._meet_peers())
+        self._run(self._expert_maps.run())
+        self._run(self._expert_maps.watch())
         self._ticker.start(_TICK_S, now=False)
         self._confirming.start(_CONFIRM_S, now=False)
         self._log.info("started", zone=settings.zone)
@@ -202,6 +229,8 @@
     def drain(self) -> None:
         """Closes connections after their next answer."""
         self._admission.drain_s = self._reactor.seconds()
+        self._expert_maps.stop()
+        self._peers.retire()
 
     def in_flight(self) -> int:
         """Returns the number of requests that have not ended."""
@@ -352,6 +381,7 @@
         self, configuration: routes.Configuration
     ) -> None:
         self._placer.configure(configuration.engines)
+        self._expert_maps.configure(configuration.engines)
 
     def _load_changed(self) -> None:
         self._peers.changed()
--- /dev/null
+++ b/libs/gateway/src/godwitdale_gateway/groups.py
@@ -0,0 +1,207 @@
+"""Groups of ranks, as their reports show them."""
+
+from collections.abc import Iterable
+import dataclasses
+
+from twisted.internet import defer
+
+from godwitdale_experts import changeover
+from godwitdale_experts import demand as demand_lib
+from godwitdale_gateway import directory as directory_lib
+from godwitdale_gateway import ranks as ranks_lib
+from godwitdale_observe import logs
+from godwitdale_routing import routes
+from godwitdale_verdicts import exceptions
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seen:
+    """A group at one moment.
+
+    Attributes:
+        name: Its name.
+        epoch: Its epoch.
+        members: Its engines, by number of the rank.
+        reports: What they said, by number of the rank.
+    """
+
+    name: str
+    epoch: int
+    members: tuple[directory_lib.Endpoint, ...]
+    reports: tuple[ranks_lib.Report, ...]
+
+    @property
+    def step(self) -> int:
+        """The last pass that any rank has begun."""
+        return max(report.step for report in self.reports)
+
+    @property
+    def paces(self) -> tuple[float, ...]:
+        """How many times longer each rank takes than a sound one."""
+        return tuple(max(1.0, report.pace) for report in self.reports)
+
+    @property
+    def armed(self) -> ranks_lib.Armed | None:
+        """A change that some rank is ready for, or None."""
+        found = (each.armed for each in self.reports if each.armed is not None)
+        return next(found, None)
+
+    @property
+    def halt(self) -> int | None:
+        """The pass before which the group is held or may change, or None."""
+        held = [each.held for each in self.reports if each.held is not None]
+        if held:
+            return held[0]
+        return self.armed.step if self.armed is not None else None
+
+    def is_same(self, other: "Seen") -> bool:
+        """Tells whether this is the same life of the same group."""
+        return (self.name, self.epoch) == (other.name, other.epoch)
+
+
+class Group:
+    """What is known of a group while it lasts.
+
+    Attributes:
+        seen: The latest look at it.
+        demand: Which experts are in demand.
+        sampled: The engine whose counts are read.
+        experts: The map in force, or None where it has not been read.
+        failures: Changes in a row that have not come about.
+        resting_until_s: No change is begun before.
+    """
+
+    __slots__ = (
+        "demand",
+        "experts",
+        "failures",
+        "resting_until_s",
+        "sampled",
+        "seen",
+    )
+
+    def __init__(
+        self,
+        seen: Seen,
+        layout: routes.ExpertLayout,
+        sampled: directory_lib.Endpoint,
+    ) -> None:
+        """Begins with a first look.
+
+        Args:
+            seen: The first look.
+            layout: How the experts may lie.
+            sampled: The engine whose counts are read.
+        """
+        self.sampled = sampled
+        self.seen = seen
+        self.demand = demand_lib.Demand(layout.sets, layout.experts)
+        self.experts: ranks_lib.ExpertMap | None = None
+        self.failures = 0
+        self.resting_until_s = 0.0
+
+    def change_to(self, version: int, fence: int) -> changeover.Changeover:
+        """Returns a change of this group to a new map."""
+        seen = self.seen
+        ids = [member.id for member in seen.members]
+        return changeover.Changeover(ids, seen.epoch, version, fence)
+
+
+def recovery(seen: Seen, version: int, fence: int) -> changeover.Changeover:
+    """Returns the end of a change that a group was seen in.
+
+    Args:
+        seen: The group; it is held, or ranks are armed.
+        version: One that nobody uses, where no rank was seen armed.
+        fence: First of the fencing numbers that may be used.
+    """
+    armed = seen.armed
+    plan = changeover.Plan(
+        ranks=tuple(member.id for member in seen.members),
+        epoch=seen.epoch,
+        version=version if armed is None else armed.version,
+        step=seen.halt or 0,
+        fence=fence,
+    )
+    return changeover.Changeover.recovery(plan)
+
+
+class Looker:
+    """Looks at the groups of a service."""
+
+    def __init__(
+        self,
+        ranks: ranks_lib.Ranks,
+        directory: directory_lib.Directory,
+        log: logs.EventLog,
+    ) -> None:
+        """Prepares; nothing is sent yet.
+
+        Args:
+            ranks: Speaks to the ranks.
+            directory: The endpoints.
+            log: The log of decisions.
+        """
+        self._ranks = ranks
+        self._directory = directory
+        self._log = log
+
+    def members(self, service: str) -> list[directory_lib.Endpoint]:
+        """Returns the engines of a service.
+
+        Args:
+            service: Its name.
+        """
+        entries = self._directory.of_service(service)
+        return [entry.endpoint for entry in entries]
+
+    async def look(self, service: str) -> list[Seen]:
+        """Returns the groups of which every rank answers and takes requests.
+
+        Args:
+            service: Name of the service.
+        """
+        members = self.members(service)
+        reports = await defer.gatherResults(
+            [defer.ensureDeferred(self._report(each)) for each in members],
+            consumeErrors=True,
+        )
+        return assemble(
+            (endpoint, report)
+            for endpoint, report in zip(members, reports, strict=True)
+            if report is not None
+        )
+
+    async def _report(
+        self, endpoint: directory_lib.Endpoint
+    ) -> ranks_lib.Report | None:
+        try:
+            return await self._ranks.report(endpoint)
+        except exceptions.PlatformUnavailableError as failed:
+            self._log.info(
+                "rank_silent", endpoint=endpoint.id, detail=str(failed)
+            )
+            return None
+
+
+def assemble(
+    found: Iterable[tuple[directory_lib.Endpoint, ranks_lib.Report]],
+) -> list[Seen]:
+    """Returns the groups of which every rank is known and takes requests.
+
+    Args:
+        found: Engines with what they report.
+    """
+    by_life: dict[tuple[str, int], dict[int, tuple]] = {}
+    for endpoint, report in found:
+        life = by_life.setdefault((report.group, report.epoch), {})
+        life[report.rank] = (endpoint, report)
+    complete = []
+    for (name, epoch), ranked in sorted(by_life.items()):
+        reports = tuple(ranked[rank][1] for rank in sorted(ranked))
+        size = reports[0].size
+        is_whole = sorted(ranked) == list(range(size))
+        if is_whole and all(report.is_open for report in reports):
+            members = tuple(ranked[rank][0] for rank in sorted(ranked))
+            complete.append(Seen(name, epoch, members, reports))
+    return complete
--- a/libs/gateway/src/godwitdale_gateway/peers.py
+++ b/libs/gateway/src/godwitdale_gateway/peers.py
@@ -1,5 +1,6 @@
 """Datagrams in which the entries tell each other about their load."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
 from typing import Any
@@ -8,6 +9,7 @@
 import msgspec
 from twisted.internet import protocol
 
+from godwitdale_experts import changeover
 from godwitdale_http import pool as pool_lib
 from godwitdale_observe import logs
 from godwitdale_routing import sharing
@@ -30,6 +32,8 @@
 # Copies older than this are not told of; nobody can use them.
 _MOST_AGE_S = 60.0
 _NEVER_MS = 60_000
+# Changes of maps that are remembered to have come to their end.
+_MOST_SETTLED = 16
 # How often an entry introduces itself to one that has not answered yet.
 _INTRODUCTIONS = 5
 
@@ -46,6 +50,10 @@
         positions: By topic, how far it has read, and how many milliseconds
             ago that was certainly all there was.
         started: Prompt tokens sent in this life, by service.
+        changing: A change of an expert map that the entry is about to make:
+            the service, ids of the ranks, epoch, version, step and fencing
+            number; or None.
+        is_retiring: Whether the entry takes no new connections any more.
         is_last: Whether the entry stops.
     """
 
@@ -55,6 +63,8 @@
     heads: dict[str, list[tuple[bool, int, int]]]
     positions: dict[str, tuple[int, int]]
     started: dict[str, int]
+    changing: tuple[str, tuple[str, ...], int, int, int, int] | None = None
+    is_retiring: bool = False
     is_last: bool = False
 
 
@@ -126,6 +136,19 @@
 _NO_LOAD = OwnLoad({}, {}, {})
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A change of an expert map that an entry has announced.
+
+    Attributes:
+        service: Name of the service.
+        plan: What it is about to do.
+    """
+
+    service: str
+    plan: changeover.Plan
+
+
 class Peers(protocol.DatagramProtocol):
     """Tells the load of this entry, and collects that of the others."""
 
@@ -138,6 +161,7 @@
         own_load: Callable[[], OwnLoad],
         copies: Copies,
         changed: Callable[[], None],
+        settled: Callable[[str], None],
         reactor: Any,
         log: logs.EventLog,
     ) -> None:
@@ -149,6 +173,8 @@
             own_load: Returns the load of this entry.
             copies: What this entry has read of the store.
             changed: Called when the load of another has changed.
+            settled: Called with the name of a service when a change of a map
+                of its groups has come to its end.
             reactor: The Twisted reactor.
             log: The log of decisions.
         """
@@ -162,12 +188,20 @@
         self._questions: dict[int, float] = {}
         self._question_number = 0
         self._on_change = changed
+        self._on_settled = settled
         self._reactor = reactor
         self._log = log
         self._sequence = 0
         self._known: dict[pool_lib.Address, int] = {}
         self._is_introduced = False
         self._heard: dict[pool_lib.Address, tuple[str, float]] = {}
+        self._retiring: set[str] = set()
+        self._is_retiring = False
+        self._own_change: Change | None = None
+        self._changes: dict[str, Change] = {}
+        self._settled: collections.deque[int] = collections.deque(
+            maxlen=_MOST_SETTLED
+        )
         self._timer: Any = None
         self._told_s = 0.0
         self._spent_until_s = 0.0
@@ -196,6 +230,43 @@
         """Place of this entry among those that are heard of, from 0."""
         return sum(1 for peer, _ in self._heard.values() if peer < self._name)
 
+    @property
+    def seniority(self) -> int:
+        """Place of this entry among those that stay, the oldest first.
+
+        One that is about to change an expert map does not count, as nobody
+        can tell whether it still lives while a group stands still.
+        """
+        return sum(
+            1
+            for peer, _ in self._heard.values()
+            if peer < self._name
+            and peer not in self._retiring
+            and peer not in self._changes
+        )
+
+    @property
+    def is_senior(self) -> bool:
+        """Whether this entry is the oldest of those that stay."""
+        is_alone = self.seniority == 0 and not self._changes
+        return self._is_introduced and is_alone
+
+    def changes(self) -> list[Change]:
+        """Returns the changes that other entries have announced."""
+        return list(self._changes.values())
+
+    def announce(self, change: Change | None) -> None:
+        """Tells the others of a change, or that it has come to its end.
+
+        Args:
+            change: The change, or None.
+        """
+        ended = self._own_change
+        self._own_change = change
+        if change is None and ended is not None:
+            self._settle(ended)
+        self._tell()
+
     @property
     def count(self) -> int:
         """Entries that are heard of, this one included."""
@@ -216,10 +287,17 @@
         for address, (peer, heard_s) in list(self._heard.items()):
             if now_s - heard_s > sharing.SILENCE_S:
                 del self._heard[address]
+                self._retiring.discard(peer)
+                self._changes.pop(peer, None)
                 self._told.pop(address, None)
                 self._log.info("peer_silent", peer=peer)
         self._board.expire(now_s)
 
+    def retire(self) -> None:
+        """Tells the others that this entry will stop soon."""
+        self._is_retiring = True
+        self.changed()
+
     def leave(self) -> None:
         """Tells the others that this entry stops."""
         if self.transport is not None:
@@ -302,10 +380,15 @@
         now_s = self._reactor.seconds()
         if message.is_last:
             self._heard.pop(address, None)
+            self._retiring.discard(message.sender)
+            self._changes.pop(message.sender, None)
             self._board.drop(message.sender)
             self._on_change()
             return
         self._note(address, message.sender, now_s)
+        if message.is_retiring:
+            self._retiring.add(message.sender)
+        self._take_change(message)
         self._told[address] = (now_s, message.positions)
         self._copies.told(
             {topic: at for topic, (at, _) in message.positions.items()}
@@ -313,6 +396,17 @@
         if self._board.put(message.sender, _load(message, now_s), now_s):
             self._on_change()
 
+    def _take_change(self, message: LoadMessage) -> None:
+        if message.changing is None:
+            ended = self._changes.pop(message.sender, None)
+            if ended is not None:
+                self._settle(ended)
+            return
+        service, ranks, epoch, version, step, fence = message.changing
+        if version not in self._settled:
+            plan = changeover.Plan(ranks, epoch, version, step, fence)
+            self._changes[message.sender] = Change(service, plan)
+
     def connectionRefused(self) -> None:  # noqa: N802
         """Nobody listens at one of the addresses."""
 
@@ -328,7 +422,11 @@
             self._board.drop(known[0])
 
     def _tell(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
         self._timer = None
+        if self.transport is None:
+            return  # The process stops.
         self._send(self._own_load(), is_last=False)
 
     def _send(self, load: OwnLoad, is_last: bool) -> None:
@@ -352,6 +450,8 @@
                 for topic, position in self._copies.positions().items()
             },
             load.started,
+            self._changing(),
+            self._is_retiring,
             is_last,
         )
         data = _encoder.encode(message)
@@ -365,6 +465,34 @@
         for address in targets:
             self.transport.write(data, (address.host, address.port))
 
+    def _settle(self, ended: Change) -> None:
+        """A change has come to its end, whoever announces it still."""
+        version = ended.plan.version
+        if version not in self._settled:
+            self._settled.append(version)
+            self._on_settled(ended.service)
+        self._changes = {
+            peer: change
+            for peer, change in self._changes.items()
+            if change.plan.version != version
+        }
+
+    def _changing(
+        self,
+    ) -> tuple[str, tuple[str, ...], int, int, int, int] | None:
+        change = self._own_change
+        if change is None:
+            return None
+        plan = change.plan
+        return (
+            change.service,
+            plan.ranks,
+            plan.epoch,
+            plan.version,
+            plan.step,
+            plan.fence,
+        )
+
     def _targets(self) -> list[pool_lib.Address]:
         targets = list(self._heard)
         for address, left in list(self._known.items()):
--- a/libs/gateway/src/godwitdale_gateway/placing.py
+++ b/libs/gateway/src/godwitdale_gateway/placing.py
@@ -36,6 +36,8 @@
 # When a service without endpoints is worth another try: about one interval in
 # which the store learns of a new endpoint.
 _NO_ENDPOINT_RETRY_S = 0.5
+# From the end of a change of the experts' places to the first pass on it.
+_MOVE_S = 0.4
 # Callers that were refused come back spread over this much of the time after
 # which there will be room, so that they do not meet again.
 _RETRY_SPREAD = 1.0
@@ -86,6 +88,7 @@
     gap_objective_s: float | None = None
     surplus_s: float = 0.0
     pass_ended_s: float = 0.0
+    moved_s: float = 0.0
     started: int = 0
     tokens_per_pass: int = 0
     usual_passes: float = 0.0
@@ -163,6 +166,7 @@
         """
         service = self._service(name)
         now_s = self._reactor.seconds()
+        service.moved_s = now_s
         if service.concurrency is None:
             return
         service.gap_objective_s = objective_s
@@ -185,8 +189,50 @@
         """Notes that an endpoint of a service has begun to answer."""
         service = self._service(name)
         service.refusals = 0
+        service.moved_s = self._reactor.seconds()
         service.pace.began(took_s)
 
+    def stalled_s(self, service: str) -> float:
+        """Returns for how long streams here have waited for any event.
+
+        Args:
+            service: Name of the service.
+        """
+        entries = self._directory.of_service(service)
+        if not any(entry.tracked.sent for entry in entries):
+            return 0.0
+        return self._reactor.seconds() - self._service(service).moved_s
+
+    def strain(self, service: str) -> float:
+        """Returns the time of a pass over the longest that is on time.
+
+        Args:
+            service: Name of the service.
+        """
+        objective_s = self._service(service).gap_objective_s
+        return self.pass_s(service) / objective_s if objective_s else 0.0
+
+    def pass_s(self, service: str) -> float:
+        """Returns how long a pass takes at present, or 0.
+
+        Args:
+            service: Name of the service.
+        """
+        concurrency = self._service(service).concurrency
+        if concurrency is None:
+            return 0.0
+        return concurrency.pass_s(self._running(service))
+
+    def experts_moved(self, name: str) -> None:
+        """Is told that the experts of a service are about to lie elsewhere.
+
+        Args:
+            name: Name of the service.
+        """
+        concurrency = self._service(name).concurrency
+        if concurrency is not None:
+            self._reactor.callLater(_MOVE_S, concurrency.fade)
+
     def refused_retry_s(self, name: str, left_s: float) -> float:
         """Returns when a request that an endpoint refused may come back.
 
@@ -409,9 +455,13 @@
         )
         chosen = self._directory.get(tracked.name)
         assert chosen is not None
+        service = self._service(seeker.want.service)
+        entries = self._directory.of_service(seeker.want.service)
+        if not any(entry.tracked.sent for entry in entries):
+            service.moved_s = now_s
         chosen.tracked.sent += 1
         prompt = seeker.want.ask.prompt_tokens
-        self._service(seeker.want.service).started += prompt
+        service.started += prompt
         self._board.note_start(seeker.want.service, prompt, now_s)
         self._changed()
         seeker.placed(chosen)
--- /dev/null
+++ b/libs/gateway/src/godwitdale_gateway/ranks.py
@@ -0,0 +1,111 @@
+"""What an entry reads from the ranks of a group, and what it tells them."""
+
+import dataclasses
+from typing import Protocol
+
+from godwitdale_experts import changeover
+from godwitdale_experts import replication
+from godwitdale_gateway import directory
+
+# By set of layers, the experts of each rank.
+ExpertMap = tuple[replication.Holders, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Armed:
+    """A change that a rank is ready for.
+
+    Attributes:
+        version: Version of the map.
+        step: First pass that runs on it.
+    """
+
+    version: int
+    step: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What a rank says of itself, a little while ago.
+
+    Attributes:
+        group: Name of its group.
+        epoch: Grows each time the group forms anew.
+        rank: Its number in the group.
+        size: Ranks of the group.
+        is_open: Whether the group takes requests.
+        step: The last pass that was begun.
+        prepared: Version of the map whose experts it has copied, or None.
+        armed: The change that it is ready for, or None.
+        held: The pass before which it holds the group, or None.
+        pace: How many times longer it takes than a sound one.
+    """
+
+    group: str
+    epoch: int
+    rank: int
+    size: int
+    is_open: bool
+    step: int
+    prepared: int | None
+    armed: Armed | None
+    held: int | None
+    pace: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Counts:
+    """How often the requests of a rank have chosen each expert.
+
+    Attributes:
+        epoch: Epoch of the group.
+        chosen: Since the rank started; the experts of all sets in a row.
+    """
+
+    epoch: int
+    chosen: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """The experts that a rank holds.
+
+    Attributes:
+        epoch: Epoch of the group.
+        version: Version of the map in force.
+        experts: By set of layers.
+    """
+
+    epoch: int
+    version: int
+    experts: tuple[tuple[int, ...], ...]
+
+
+class Ranks(Protocol):
+    """Speaks to the ranks.
+
+    Its calls, but for ``order``, raise ``PlatformUnavailableError``.
+    """
+
+    async def report(self, endpoint: directory.Endpoint) -> Report | None:
+        """Returns what a rank says, or None where it belongs to no group."""
+
+    async def counts(self, endpoint: directory.Endpoint) -> Counts:
+        """Returns how often each expert was chosen."""
+
+    async def held(self, endpoint: directory.Endpoint) -> Held:
+        """Returns the experts that a rank holds."""
+
+    async def order(
+        self,
+        endpoint: directory.Endpoint,
+        order: changeover.Order,
+        experts: ExpertMap,
+    ) -> changeover.Answer:
+        """Gives an order.
+
+        Args:
+            endpoint: The rank.
+            order: The order.
+            experts: The map, which goes along with an order to prepare.
+        """
--- a/libs/gateway/src/godwitdale_gateway/settings.py
+++ b/libs/gateway/src/godwitdale_gateway/settings.py
@@ -6,6 +6,7 @@
 from godwitdale_gateway import dialect as dialect_lib
 from godwitdale_gateway import following
 from godwitdale_gateway import knowledge
+from godwitdale_gateway import ranks as ranks_lib
 from godwitdale_http import pool as pool_lib
 
 
@@ -52,6 +53,7 @@
         endpoints: The topic that lists the endpoints.
         decode_endpoint: Decodes one of them.
         registry: Where the entries find each other.
+        ranks: Speaks to the ranks of expert-parallel groups.
     """
 
     dialect: dialect_lib.Dialect
@@ -61,12 +63,13 @@
     endpoints: following.Topic
     decode_endpoint: knowledge.DecodeEndpoint
     registry: "Registry"
+    ranks: ranks_lib.Ranks
 
 
 class Registry(Protocol):
     """Where the entries find each other.
 
-    Both calls raise ``exceptions.PlatformUnavailableError``.
+    Its calls raise ``exceptions.PlatformUnavailableError``.
     """
 
     async def announce(self, name: str, address: pool_lib.Address) -> None:
@@ -74,3 +77,6 @@
 
     async def members(self) -> set[pool_lib.Address]:
         """Returns where entries may be reached."""
+
+    async def claim(self, name: str) -> int:
+        """Takes the duty over expert maps; returns its generation."""
--- a/libs/routing/src/godwitdale_routing/concurrency.py
+++ b/libs/routing/src/godwitdale_routing/concurrency.py
@@ -39,6 +39,9 @@
 _LEAST_SHARE = 0.4
 # Weight, in seconds of pauses, of what is declared of an idle group.
 _DECLARED_WEIGHT = 0.1
+# Weight that pauses keep from before a change of the experts' places: some six
+# passes after it they count for nothing.
+_FADED = 0.05
 # Keeps what a writer adds above nothing where nothing is declared.
 _LEAST_S = 1e-6
 # How much more than an even spread of the experts each writer is taken to cost
@@ -125,6 +128,19 @@
         )
         self._gap_gap_s = self._gap_gap_s * kept + weight * gap_s**2
 
+    def fade(self) -> None:
+        """Lets what was seen weigh little, as passes are to change.
+
+        Where experts move, pauses of before and after lie on different lines;
+        taken together they look as if passes varied without a reason.
+        """
+        self._weight *= _FADED
+        self._running *= _FADED
+        self._gap_s *= _FADED
+        self._running_running *= _FADED
+        self._running_gap_s *= _FADED
+        self._gap_gap_s *= _FADED
+
     def pass_s(self, running: int) -> float:
         """Returns how long a pass takes.
 
--- a/libs/verdicts/src/godwitdale_verdicts/identifiers.py
+++ b/libs/verdicts/src/godwitdale_verdicts/identifiers.py
@@ -5,6 +5,7 @@
 import msgspec
 
 _INCARNATION_BYTES = 8
+_LIFE_BYTES = 4
 
 
 class RequestId(msgspec.Struct, frozen=True, array_like=True):
@@ -40,3 +41,16 @@
 def new_incarnation() -> str:
     """Returns a random name for one life of one process."""
     return secrets.token_hex(_INCARNATION_BYTES)
+
+
+def new_life(time_of_day_s: float) -> str:
+    """Returns a name for one life of one process that sorts by its start.
+
+    Clocks differ between instances and may be set, so that the order is only a
+    hint.
+
+    Args:
+        time_of_day_s: Unix time.
+    """
+    milliseconds = max(0, int(time_of_day_s * 1000))
+    return f"{milliseconds:012x}{secrets.token_hex(_LIFE_BYTES)}"
--- a/tests/unit/test_concurrency.py
+++ b/tests/unit/test_concurrency.py
@@ -111,3 +111,19 @@
         model.observe(0.09, 70, 0, OBJECTIVE_S)
     # A usual answer of 28 passes fits into a caller's 8 s again.
     assert 28 * model.pass_s(70) < 8
+
+
+def test_a_change_of_the_experts_places_does_not_look_like_chance():
+    """Before it a stream added twice as much to a pass as after it."""
+    after_s = BASE_S + 0.0006 * 60
+
+    def limit(fades):
+        model = learnt(BASE_S, 0.0012, (50, 70), noise_s=0.001)
+        if fades:
+            model.fade()
+        for _ in range(6):
+            model.observe(after_s, 60, 0, OBJECTIVE_S)
+        return model.limit(OBJECTIVE_S, SLOTS)
+
+    assert limit(fades=True) == SLOTS
+    assert limit(fades=False) < SLOTS
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -3,6 +3,7 @@
 import pytest
 from twisted.internet import task
 
+from godwitdale_experts import changeover
 from godwitdale_gateway import peers
 from godwitdale_http import pool
 from godwitdale_observe import logs
@@ -47,6 +48,7 @@
         self.age = 1.0
         self.told_positions = []
         self.confirmations = []
+        self.settled = []
         self.board = sharing.LoadBoard()
         self.network = network
         self.peers = peers.Peers(
@@ -55,6 +57,7 @@
             lambda: self.load,
             self,
             lambda: None,
+            self.settled.append,
             network.clock,
             logs.EventLog(),
         )
@@ -183,3 +186,53 @@
         network.clock.advance(0.005)
     told = [data for who, _, data in network.sent if who == ("a", 7)]
     assert sum(map(len, told)) < 20_000 * (10 + 2)
+
+
+PLAN = changeover.Plan(("r0", "r1"), 1, 7, 90, 70)
+
+
+def senior(entries):
+    return [entry.peers.seniority for entry in entries]
+
+
+def test_the_oldest_entry_that_stays_is_the_first(network):
+    entries = meet(network, "a", "b", "c")
+    assert senior(entries) == [0, 1, 2]
+    entries[0].peers.retire()
+    network.run(0.5)
+    assert senior(entries) == [0, 0, 1]
+    assert [entry.peers.is_senior for entry in entries] == [True, True, False]
+
+
+def test_an_entry_that_changes_a_map_says_so_before_and_after(network):
+    first, second, third = entries = meet(network, "a", "b", "c")
+    first.peers.announce(peers.Change("llm", PLAN))
+    network.clock.advance(0.01)
+    assert [each.plan for each in second.peers.changes()] == [PLAN]
+    assert senior(entries) == [0, 0, 1]
+    assert not second.peers.is_senior
+    first.peers.announce(None)
+    network.clock.advance(0.01)
+    assert second.peers.changes() == []
+    assert first.settled == second.settled == third.settled == ["llm"]
+
+
+def test_a_change_that_another_entry_ended_is_not_taken_over_again(network):
+    first, second, third = meet(network, "a", "b", "c")
+    first.peers.announce(peers.Change("llm", PLAN))
+    network.clock.advance(0.01)
+    second.peers.announce(peers.Change("llm", PLAN))
+    network.clock.advance(0.01)
+    second.peers.announce(None)
+    network.clock.advance(0.01)
+    assert third.peers.changes() == []
+    network.run(1.5)  # The first entry still repeats it.
+    assert third.peers.changes() == []
+    assert third.settled == ["llm"]
+
+
+def test_what_was_to_be_told_when_the_process_stopped_is_left(network):
+    first, _ = meet(network, "a", "b")
+    first.peers.changed()
+    first.peers.transport = None
+    network.clock.advance(0.1)
