Follow a failed request from its id through the logs of many processes

Cause: on-call engineers had grep; what decided, the configuration then in force, and whether others lost their answer at the same endpoint had to be put together by hand. Of requests that ended at their limit the log did not say which endpoint had them. Change: godwitdale trace ID FILES and godwitdale log summary read plain and compressed logs and pipes; the line of a refusal names the last endpoint. The three ways of docs/OPERATIONS.md are tests with separate processes.

--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -135,6 +135,7 @@
         self._unreached = 0
         self._in_doubt = False
         self._entry: directory_lib.Entry | None = None
+        self._asked: str | None = None  # The last endpoint, also after it.
         self._connecting: defer.Deferred[Any] | None = None
         self._channel: channel_lib.Channel | None = None
         self._status = 0
@@ -169,6 +170,7 @@
         self._is_waiting = False
         self.tried.add(entry.endpoint.id)
         self._entry = entry
+        self._asked = entry.endpoint.id
         self._connect(entry)
 
     def refused(self, refusal: outcomes.Refusal) -> None:
@@ -460,6 +462,7 @@
             reason=refusal.reason.value,
             verdict=refusal.verdict.value,
             detail=refusal.detail,
+            endpoint=self._asked,
             attempts=self._attempts,
             left_s=round(self._left_s(), 3),
         )
--- a/libs/godwitdale/src/godwitdale/cli.py
+++ b/libs/godwitdale/src/godwitdale/cli.py
@@ -14,6 +14,7 @@
 from godwitdale import agent as agent_lib
 from godwitdale import demo as demo_lib
 from godwitdale import entry as entry_lib
+from godwitdale import explaining
 from godwitdale import publishing
 from godwitdale import running
 from godwitdale import settings as settings_lib
@@ -43,6 +44,8 @@
     pretty_exceptions_enable=False,
 )
 app.add_typer(commands.app, name="bench")
+app.add_typer(explaining.log_app, name="log")
+app.command()(explaining.trace)
 
 SettingsFile = Annotated[
     pathlib.Path, typer.Argument(help="Settings of the daemon, JSON.")
