Take a change over at most three times where other entries are ahead with it

Cause: an entry whose orders are refused, as another entry has used a higher fencing number, went on to give the same orders until the group moved. Ruled out: giving up after the first refusal.

--- a/libs/gateway/src/godwitdale_gateway/changing.py
+++ b/libs/gateway/src/godwitdale_gateway/changing.py
@@ -131,7 +131,8 @@
             pass_s: How long a pass takes at present.
         """
         fence = await self._fences()
-        change = group.change_to(fence, fence)
+        # A fencing number is used once, and so is a version made of it.
+        change = group.change_to(version=fence, fence=fence)
         began_s = self._reactor.seconds()
         await self._drive(change, group.seen.members, planned, _PREPARE_S)
         # Where answers are lost, to arm takes about as long as to prepare.
@@ -165,12 +166,15 @@
         self,
         announced: peers.Change,
         members: Iterable[directory_lib.Endpoint],
-    ) -> None:
+    ) -> changeover.Phase:
         """Brings a change to its end that another entry has begun.
 
         Args:
             announced: What that entry has told.
             members: The engines of the group, as far as they are known.
+
+        Returns:
+            How that ended.
         """
         plan = dataclasses.replace(
             announced.plan,
@@ -179,6 +183,7 @@
         change = changeover.Changeover.takeover(plan)
         await self._drive(change, members, (), _ARM_S)
         self._note("experts_taken_over", announced.service, change)
+        return change.phase
 
     async def recover(
         self, service: str, seen: groups.Seen, layout: routes.ExpertLayout
@@ -191,7 +196,7 @@
             layout: How the experts may lie.
         """
         fence = await self._fences()
-        change = groups.recovery(seen, fence, fence)
+        change = groups.recovery(seen, version=fence, fence=fence)
         await self._drive(change, seen.members, (), _SETTLE_S)
         while change.phase is changeover.Phase.CHECKING:
             await self._sleep(layout.report_lag_s + _REPORT_SLACK_S)
--- a/libs/gateway/src/godwitdale_gateway/expert_maps.py
+++ b/libs/gateway/src/godwitdale_gateway/expert_maps.py
@@ -10,6 +10,7 @@
 does not stay held when the entry that held it is gone.
 """
 
+import collections
 from collections.abc import Mapping
 import random
 from typing import Any
@@ -49,6 +50,10 @@
 _CHANGING_PASSES = 3
 _CHANGING_STEP_S = 0.3
 _WATCH_S = 0.1
+# Times that a change is taken over again which other entries are ahead with:
+# they may lose answers. More often would be to insist on old numbers.
+_MOST_LOSSES = 3
+_MOST_REMEMBERED = 16
 # After a change that did not come about, and after another entry has shown
 # that it has the duty.
 _REST_S = 3.0
@@ -105,6 +110,10 @@
         self._layouts: dict[str, routes.ExpertLayout] = {}
         self._groups: dict[str, dict[str, groups.Group]] = {}
         self._looked_at: dict[str, frozenset[str]] = {}
+        # Changes on which another entry has used a higher fencing number.
+        self._lost: collections.deque[int] = collections.deque(
+            maxlen=_MOST_REMEMBERED
+        )
         self._resting_until_s = 0.0
         self._is_stopped = False
 
@@ -160,11 +169,15 @@
         place = self._entries.seniority
         for announced in self._entries.changes():
             patience_s = max(_CHANGING_S, _CHANGING_PASSES * pass_s)
-            if announced.service != service:
+            version = announced.plan.version
+            has_lost = self._lost.count(version) >= _MOST_LOSSES
+            if announced.service != service or has_lost:
                 continue
             if stalled_s > patience_s + place * _CHANGING_STEP_S:
                 members = self._looker.members(service)
-                await self._changer.take_over(announced, members)
+                ended = await self._changer.take_over(announced, members)
+                if ended is changeover.Phase.LOST:
+                    self._lost.append(version)
                 await task.deferLater(self._reactor, _CHANGING_STEP_S)
                 return
         patience_s = max(_STALLED_S, _STALLED_PASSES * pass_s)
