--- a/tests/model/checking.py
+++ b/tests/model/checking.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import minicheck
+import pytest
 
 MOST_STATES = 3_000_000
 NOTHING_REMOVED: frozenset[str] = frozenset()
@@ -50,6 +51,36 @@
     trace: list[str]
 
 
+def mutants(specifications: Iterable[Specification]) -> list[Any]:
+    """Returns a test case for each rule that a specification can do without.
+
+    Args:
+        specifications: Specifications that hold.
+    """
+    return [
+        pytest.param(each, mutant, id=f"{each.name}: without {mutant}")
+        for each in specifications
+        for mutant in each.mutants
+    ]
+
+
+def assert_holds(specification: Specification) -> None:
+    """Searches a specification for a state that breaks a promise."""
+    finding = search(specification)
+    print(f"\n{specification.name}: {finding.states} states")
+    for promise in specification.promises:
+        print(f"  holds: {promise}")
+    assert finding.broken == {}
+
+
+def assert_breaks(specification: Specification, mutant: str) -> None:
+    """Searches a specification without one of its rules."""
+    finding = search(specification, specification.mutants[mutant])
+    print(f"\n{specification.name} without {mutant}: {finding.broken}")
+    print("  " + "; ".join(finding.trace))
+    assert finding.broken
+
+
 def search(
     specification: Specification, removed: frozenset[str] = NOTHING_REMOVED
 ) -> Finding:
--- a/tests/model/test_map_orders.py
+++ b/tests/model/test_map_orders.py
@@ -1,29 +1,23 @@
-"""The orders that change an expert map, and what breaks without a rule."""
+"""The orders that change an expert map, and what breaks without a rule.
+
+Apart from the other specifications, as this search takes the longest.
+"""
 
 import changing
 import pytest
 
 import checking
 
-MUTANTS = [
-    pytest.param(each, mutant, id=f"{each.name}: without {mutant}")
-    for each in changing.SPECIFICATIONS
-    for mutant in each.mutants
-]
-
 
 @pytest.mark.parametrize(
     "specification", changing.SPECIFICATIONS, ids=lambda s: s.name
 )
 def test_no_pass_begins_with_two_maps(specification):
-    finding = checking.search(specification)
-    print(f"\n{specification.name}: {finding.states} states")
-    assert finding.broken == {}
+    checking.assert_holds(specification)
 
 
-@pytest.mark.parametrize(("specification", "mutant"), MUTANTS)
+@pytest.mark.parametrize(
+    ("specification", "mutant"), checking.mutants(changing.SPECIFICATIONS)
+)
 def test_each_rule_is_needed(specification, mutant):
-    finding = checking.search(specification, specification.mutants[mutant])
-    print(f"\n{specification.name} without {mutant}: {finding.broken}")
-    print("  " + "; ".join(finding.trace))
-    assert finding.broken
+    checking.assert_breaks(specification, mutant)
--- a/tests/model/test_models.py
+++ b/tests/model/test_models.py
@@ -14,25 +14,15 @@
     each.SPECIFICATION
     for each in (claims, link, declaring, switching, leases, draining)
 ]
-MUTANTS = [
-    pytest.param(each, mutant, id=f"{each.name}: without {mutant}")
-    for each in SPECIFICATIONS
-    for mutant in each.mutants
-]
 
 
 @pytest.mark.parametrize("specification", SPECIFICATIONS, ids=lambda s: s.name)
 def test_specification_holds(specification):
-    finding = checking.search(specification)
-    print(f"\n{specification.name}: {finding.states} states")
-    for promise in specification.promises:
-        print(f"  holds: {promise}")
-    assert finding.broken == {}
+    checking.assert_holds(specification)
 
 
-@pytest.mark.parametrize(("specification", "mutant"), MUTANTS)
+@pytest.mark.parametrize(
+    ("specification", "mutant"), checking.mutants(SPECIFICATIONS)
+)
 def test_specification_breaks_without_a_rule(specification, mutant):
-    finding = checking.search(specification, specification.mutants[mutant])
-    print(f"\n{specification.name} without {mutant}: {finding.broken}")
-    print("  " + "; ".join(finding.trace))
-    assert finding.broken
+    checking.assert_breaks(specification, mutant)
