Keep what another entry told in one record a life

Cause: what an entry had announced and whether it retires were kept by the name of its life, when it was heard by its address, and only silence or an end of that very life cleared the first two. An entry that was killed in the middle of a change and started again at its address within 3.2 s left its announcement with all others for good: none of them took the duty over expert maps any more. Ruled out: clearing the two further collections in one more place; what is known of a life belongs together and goes with it. Change: one record by address replaces three collections. A plan and its announcement are encoded as they are, without a copy of their fields.

--- a/libs/experts/src/godwitdale_experts/changeover.py
+++ b/libs/experts/src/godwitdale_experts/changeover.py
@@ -33,6 +33,8 @@
 import dataclasses
 import enum
 
+import msgspec
+
 # Fencing numbers of one generation, those that one change may use, and those of
 # them that go by until an entry that takes it over begins. A change uses one a
 # phase, and a few more for each time that it is postponed.
@@ -114,8 +116,7 @@
     step: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Plan:
+class Plan(msgspec.Struct, frozen=True, array_like=True):
     """What the other entries have to know of a change to take it over.
 
     Attributes:
--- a/libs/gateway/src/godwitdale_gateway/changing.py
+++ b/libs/gateway/src/godwitdale_gateway/changing.py
@@ -6,6 +6,7 @@
 from typing import Any
 from typing import Protocol
 
+from msgspec import structs
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -176,7 +177,7 @@
         Returns:
             How that ended.
         """
-        plan = dataclasses.replace(
+        plan = structs.replace(
             announced.plan,
             fence=announced.plan.fence + changeover.FENCES_TO_TAKEOVER,
         )
--- a/libs/gateway/src/godwitdale_gateway/peers.py
+++ b/libs/gateway/src/godwitdale_gateway/peers.py
@@ -38,6 +38,18 @@
 _INTRODUCTIONS = 5
 
 
+class Change(msgspec.Struct, frozen=True, array_like=True):
+    """A change of an expert map that an entry has announced.
+
+    Attributes:
+        service: Name of the service.
+        plan: What it is about to do.
+    """
+
+    service: str
+    plan: changeover.Plan
+
+
 class LoadMessage(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """What one entry tells the others of its load.
 
@@ -50,9 +62,8 @@
         positions: By topic, how far it has read, and how many milliseconds
             ago that was certainly all there was.
         started: Prompt tokens sent in this life, by service.
-        changing: A change of an expert map that the entry is about to make:
-            the service, ids of the ranks, epoch, version, step and fencing
-            number; or None.
+        changing: A change of an expert map that the entry is about to make,
+            or None.
         is_retiring: Whether the entry takes no new connections any more.
         is_last: Whether the entry stops.
     """
@@ -63,7 +74,7 @@
     heads: dict[str, list[tuple[bool, int, int]]]
     positions: dict[str, tuple[int, int]]
     started: dict[str, int]
-    changing: tuple[str, tuple[str, ...], int, int, int, int] | None = None
+    changing: Change | None = None
     is_retiring: bool = False
     is_last: bool = False
 
@@ -136,17 +147,23 @@
 _NO_LOAD = OwnLoad({}, {}, {})
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
-    """A change of an expert map that an entry has announced.
+@dataclasses.dataclass(slots=True)
+class _Heard:
+    """What one life of another entry told last.
 
     Attributes:
-        service: Name of the service.
-        plan: What it is about to do.
+        name: Name of that life.
+        heard_s: When it was heard.
+        positions: How far it had read each topic, and how old that was.
+        is_retiring: Whether it will stop soon.
+        change: The change that it has announced, or None.
     """
 
-    service: str
-    plan: changeover.Plan
+    name: str
+    heard_s: float
+    positions: dict[str, tuple[int, int]]
+    is_retiring: bool = False
+    change: Change | None = None
 
 
 class Peers(protocol.DatagramProtocol):
@@ -182,9 +199,6 @@
         self._board = board
         self._own_load = own_load
         self._copies = copies
-        self._told: dict[
-            pool_lib.Address, tuple[float, dict[str, tuple[int, int]]]
-        ] = {}
         self._questions: dict[int, float] = {}
         self._question_number = 0
         self._on_change = changed
@@ -194,11 +208,9 @@
         self._sequence = 0
         self._known: dict[pool_lib.Address, int] = {}
         self._is_introduced = False
-        self._heard: dict[pool_lib.Address, tuple[str, float]] = {}
-        self._retiring: set[str] = set()
+        self._heard: dict[pool_lib.Address, _Heard] = {}
         self._is_retiring = False
         self._own_change: Change | None = None
-        self._changes: dict[str, Change] = {}
         self._settled: collections.deque[int] = collections.deque(
             maxlen=_MOST_SETTLED
         )
@@ -228,7 +240,7 @@
     @property
     def rank(self) -> int:
         """Place of this entry among those that are heard of, from 0."""
-        return sum(1 for peer, _ in self._heard.values() if peer < self._name)
+        return sum(1 for each in self._heard.values() if each.name < self._name)
 
     @property
     def seniority(self) -> int:
@@ -237,22 +249,27 @@
         One that is about to change an expert map does not count, as nobody
         can tell whether it still lives while a group stands still.
         """
-        left_out = self._retiring | self._changes.keys()
         return sum(
             1
-            for peer, _ in self._heard.values()
-            if peer < self._name and peer not in left_out
+            for each in self._heard.values()
+            if each.name < self._name
+            and not each.is_retiring
+            and each.change is None
         )
 
     @property
     def is_senior(self) -> bool:
         """Whether this entry is the oldest of those that stay."""
-        is_alone = self.seniority == 0 and not self._changes
-        return self._is_introduced and is_alone
+        is_first = self.seniority == 0 and not self.changes()
+        return self._is_introduced and is_first
 
     def changes(self) -> list[Change]:
         """Returns the changes that other entries have announced."""
-        return list(self._changes.values())
+        return [
+            each.change
+            for each in self._heard.values()
+            if each.change is not None
+        ]
 
     def announce(self, change: Change | None) -> None:
         """Tells the others of a change, or that it has come to its end.
@@ -283,13 +300,10 @@
         now_s = self._reactor.seconds()
         if now_s - self._told_s >= _HEARTBEAT_S:
             self.changed()
-        for address, (peer, heard_s) in list(self._heard.items()):
-            if now_s - heard_s > sharing.SILENCE_S:
+        for address, each in list(self._heard.items()):
+            if now_s - each.heard_s > sharing.SILENCE_S:
                 del self._heard[address]
-                self._retiring.discard(peer)
-                self._changes.pop(peer, None)
-                self._told.pop(address, None)
-                self._log.info("peer_silent", peer=peer)
+                self._log.info("peer_silent", peer=each.name)
         self._board.expire(now_s)
 
     def retire(self) -> None:
@@ -344,9 +358,9 @@
 
     def _as_of(self, address: pool_lib.Address, topic: str) -> float:
         """Returns about when an entry's copy was confirmed; only a hint."""
-        told_s, positions = self._told.get(address, (0.0, {}))
-        _, age_ms = positions.get(topic, (0, _NEVER_MS))
-        return told_s - age_ms / 1000
+        known = self._heard[address]
+        _, age_ms = known.positions.get(topic, (0, _NEVER_MS))
+        return known.heard_s - age_ms / 1000
 
     def _answer(self, address: pool_lib.Address, question: Question) -> None:
         age_s = self._copies.age_s(question.topic)
@@ -379,46 +393,45 @@
         now_s = self._reactor.seconds()
         if message.is_last:
             self._heard.pop(address, None)
-            self._retiring.discard(message.sender)
-            self._changes.pop(message.sender, None)
             self._board.drop(message.sender)
             self._on_change()
             return
-        self._note(address, message.sender, now_s)
-        if message.is_retiring:
-            self._retiring.add(message.sender)
-        self._take_change(message)
-        self._told[address] = (now_s, message.positions)
+        self._note(address, message, now_s)
         self._copies.told(
             {topic: at for topic, (at, _) in message.positions.items()}
         )
         if self._board.put(message.sender, _load(message, now_s), now_s):
             self._on_change()
 
-    def _take_change(self, message: LoadMessage) -> None:
-        if message.changing is None:
-            ended = self._changes.pop(message.sender, None)
-            if ended is not None:
-                self._settle(ended)
-            return
-        service, ranks, epoch, version, step, fence = message.changing
-        if version not in self._settled:
-            plan = changeover.Plan(ranks, epoch, version, step, fence)
-            self._changes[message.sender] = Change(service, plan)
-
     def connectionRefused(self) -> None:  # noqa: N802
         """Nobody listens at one of the addresses."""
 
     def _note(
-        self, address: pool_lib.Address, sender: str, now_s: float
+        self, address: pool_lib.Address, message: LoadMessage, now_s: float
     ) -> None:
         known = self._heard.get(address)
-        self._heard[address] = (sender, now_s)
         if known is None:
-            self._log.info("peer_heard", peer=sender, host=address.host)
+            host = address.host
+            self._log.info("peer_heard", peer=message.sender, host=host)
+        elif known.name != message.sender:
+            self._board.drop(known.name)
+        change = message.changing
+        if change is not None and change.plan.version in self._settled:
+            change = None
+        self._heard[address] = _Heard(
+            message.sender,
+            now_s,
+            message.positions,
+            message.is_retiring,
+            change,
+        )
+        if known is None:
             self.changed()
-        elif known[0] != sender:
-            self._board.drop(known[0])
+            return
+        is_same_life = known.name == message.sender
+        announced = known.change
+        if is_same_life and announced is not None and message.changing is None:
+            self._settle(announced)
 
     def _tell(self) -> None:
         if self._timer is not None and self._timer.active():
@@ -449,7 +462,7 @@
                 for topic, position in self._copies.positions().items()
             },
             load.started,
-            self._changing(),
+            self._own_change,
             self._is_retiring,
             is_last,
         )
@@ -470,27 +483,9 @@
         if version not in self._settled:
             self._settled.append(version)
             self._on_settled(ended.service)
-        self._changes = {
-            peer: change
-            for peer, change in self._changes.items()
-            if change.plan.version != version
-        }
-
-    def _changing(
-        self,
-    ) -> tuple[str, tuple[str, ...], int, int, int, int] | None:
-        change = self._own_change
-        if change is None:
-            return None
-        plan = change.plan
-        return (
-            change.service,
-            plan.ranks,
-            plan.epoch,
-            plan.version,
-            plan.step,
-            plan.fence,
-        )
+        for each in self._heard.values():
+            if each.change is not None and each.change.plan.version == version:
+                each.change = None
 
     def _targets(self) -> list[pool_lib.Address]:
         targets = list(self._heard)
--- a/tests/model/changing.py
+++ b/tests/model/changing.py
@@ -9,6 +9,8 @@
 
 import dataclasses
 
+from msgspec import structs
+
 import checking
 from godwitdale_experts import changeover
 
@@ -129,7 +131,7 @@
     for name in ("successor", "second"):
         if name not in others or state.entry(name) is not None:
             continue
-        plan = dataclasses.replace(holder.plan(), fence=FENCES[name])
+        plan = structs.replace(holder.plan(), fence=FENCES[name])
         change = changeover.Changeover.takeover(plan)
         yield f"{name} takes over", state.with_entry(name, freeze(change))
     if "finder" in others and state.entry("finder") is None:
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -233,3 +233,17 @@
     first.peers.changed()
     first.peers.transport = None
     network.clock.advance(0.1)
+
+
+def test_what_a_killed_entry_had_announced_ends_with_its_next_life(network):
+    first, second = meet(network, "a", "b")
+    first.peers.announce(peers.Change("llm", PLAN))
+    network.clock.advance(0.01)
+    assert not second.peers.is_senior
+    again = Entry(network, "c")  # Younger, as lives are named by their start.
+    again.address = first.address
+    network.entries[first.address] = again
+    again.peers.introduce({pool.Address(*second.address)})
+    network.run(1)
+    assert second.peers.changes() == []
+    assert second.peers.is_senior
