Say each step of a map change, a retry and a limit once

Checked: linters, unit and platform tests, the specification of map changes with every mutant; no test was changed.

--- a/libs/experts/src/godwitdale_experts/changeover.py
+++ b/libs/experts/src/godwitdale_experts/changeover.py
@@ -93,6 +93,22 @@
     Phase.ARMING: Operation.ARM,
     Phase.DISARMING: Operation.DISARM,
 }
+# What follows when the ranks have confirmed, for a change of one's own.
+_CONFIRMED = {
+    Phase.PREPARING: Phase.COPYING,
+    Phase.HOLDING: Phase.ARMING,
+    Phase.POSTPONING: Phase.COPYING,
+    Phase.ARMING: Phase.RELEASING,
+    Phase.RELEASING: Phase.CHANGED,
+    Phase.SEIZING: Phase.ARMING,
+    Phase.DISARMING: Phase.RESUMING,
+    Phase.RESUMING: Phase.UNCHANGED,
+}
+# And where a change is taken back of which only the effects are known.
+_RECOVERED = _CONFIRMED | {
+    Phase.SEIZING: Phase.DISARMING,
+    Phase.DISARMING: Phase.CHECKING,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -153,7 +169,6 @@
         "_epoch",
         "_is_recovery",
         "_is_takeover",
-        "_keeper",
         "_ranks",
     )
 
@@ -173,7 +188,6 @@
         self.step = 0
         self.version = version
         self._ranks = tuple(ranks)
-        self._keeper = self._ranks[0]
         self._epoch = epoch
         self.fence = fence
         self._confirmed: set[str] = set()
@@ -214,7 +228,7 @@
     def orders(self) -> list[Order]:
         """Returns the orders that have not been confirmed in this phase."""
         if self.phase in _TO_KEEPER:
-            return [self._order(self._keeper, _TO_KEEPER[self.phase])]
+            return [self._order(self._ranks[0], _TO_KEEPER[self.phase])]
         operation = _TO_ALL.get(self.phase)
         if operation is None:
             return []
@@ -290,15 +304,9 @@
         self._confirmed.clear()
 
     def _conflict(self, order: Order) -> None:
-        if (
-            self.phase is Phase.PREPARING
-            or self.phase is Phase.ARMING
-            and self._is_takeover
-        ):
-            self.give_up()
-        elif self.phase is Phase.ARMING:
-            pass  # The rank still copies, or the group has formed anew.
-        elif self.phase is Phase.HOLDING:
+        if self.phase is Phase.ARMING and not self._is_takeover:
+            return  # The rank still copies, or the group has formed anew.
+        if self.phase is Phase.HOLDING:
             # The pass has begun. An order to hold it that is still on its way
             # must not come to anything before a later pass is named.
             self._enter(Phase.POSTPONING)
@@ -312,27 +320,8 @@
 
     def _done(self, order: Order) -> None:
         self._confirmed.add(order.rank)
-        if self.phase is Phase.HOLDING:
-            self._enter(Phase.ARMING)
-        elif self.phase is Phase.RELEASING:
-            self._enter(Phase.CHANGED)
-        elif self.phase is Phase.SEIZING and self._is_recovery:
-            self._enter(Phase.DISARMING)
-        elif self.phase is Phase.SEIZING:
-            self._enter(Phase.ARMING)
-        elif self.phase is Phase.POSTPONING:
-            self._enter(Phase.COPYING)
-        elif self.phase is Phase.RESUMING:
-            self._enter(Phase.UNCHANGED)
-        elif self._confirmed.issuperset(self._ranks):
-            self._all_done()
-
-    def _all_done(self) -> None:
-        if self.phase is Phase.PREPARING:
-            self._enter(Phase.COPYING)
-        elif self.phase is Phase.ARMING:
-            self._enter(Phase.RELEASING)
-        elif self.phase is Phase.DISARMING and self._is_recovery:
-            self._enter(Phase.CHECKING)
-        elif self.phase is Phase.DISARMING:
-            self._enter(Phase.RESUMING)
+        asks_all = self.phase in _TO_ALL
+        if asks_all and not self._confirmed.issuperset(self._ranks):
+            return
+        following = _RECOVERED if self._is_recovery else _CONFIRMED
+        self._enter(following[self.phase])
--- a/libs/experts/src/godwitdale_experts/replication.py
+++ b/libs/experts/src/godwitdale_experts/replication.py
@@ -13,7 +13,6 @@
 
 from collections.abc import Sequence
 import dataclasses
-import math
 
 # Experts of the slowest rank, and of the ranks with the least to do, that are
 # tried for a move; the first of them nearly always is the best.
@@ -28,11 +27,6 @@
 # what is in demand changes, and few counts say little of the cold experts.
 _EVEN_SHARE = 0.1
 
-# Standard deviations that a rank's work lies above its mean in a pass that has
-# to be reckoned with, where what one expert gets in a pass varies as much as
-# its mean: a pass holds few requests, and each has topics of its own.
-_DEVIATIONS = 0.0
-
 # The experts of each rank in one set of layers, by number of the rank.
 Holders = tuple[tuple[int, ...], ...]
 
@@ -68,7 +62,7 @@
 def rank_times(
     holders: Holders, load: Sequence[float], paces: Sequence[float]
 ) -> list[float]:
-    """Returns the work of each rank in a pass that is not rare, in one set.
+    """Returns the work of each rank in one set of layers.
 
     Args:
         holders: The experts of each rank.
@@ -76,12 +70,9 @@
         paces: How many times longer each rank takes than a sound one.
     """
     replicas = _replicas(holders, len(load))
-    shares = [
-        [load[expert] / replicas[expert] for expert in held] for held in holders
-    ]
     return [
-        _time(sum(each), sum(share * share for share in each), pace)
-        for each, pace in zip(shares, paces, strict=True)
+        pace * sum(load[expert] / replicas[expert] for expert in held)
+        for held, pace in zip(holders, paces, strict=True)
     ]
 
 
@@ -119,7 +110,6 @@
         "_paces",
         "_replicas",
         "_room",
-        "_squares",
         "_sums",
     )
 
@@ -146,9 +136,6 @@
         self._replicas = _replicas(holders, len(load))
         self._room = room
         self._sums = [sum(map(self._share, held)) for held in holders]
-        self._squares = [
-            sum(self._share(each) ** 2 for each in held) for held in holders
-        ]
 
     def step(self) -> bool:
         """Makes the next move; returns whether any was worth it."""
@@ -171,8 +158,8 @@
 
     def _times(self) -> list[float]:
         return [
-            _time(*each)
-            for each in zip(self._sums, self._squares, self._paces, strict=True)
+            pace * work
+            for work, pace in zip(self._sums, self._paces, strict=True)
         ]
 
     def _share(self, expert: int) -> float:
@@ -237,7 +224,6 @@
         for rank, held in enumerate(self._held):
             if expert in held:
                 self._sums[rank] += sign * share
-                self._squares[rank] += sign * share * share
 
 
 def _replicas(holders: Holders, experts: int) -> list[int]:
@@ -248,9 +234,5 @@
     return counts
 
 
-def _time(total: float, squares: float, pace: float) -> float:
-    return pace * (total + _DEVIATIONS * math.sqrt(max(0.0, squares)))
-
-
 def _strain(times: Sequence[float]) -> float:
     return sum(each**_POWER for each in times)
--- a/libs/gateway/src/godwitdale_gateway/changing.py
+++ b/libs/gateway/src/godwitdale_gateway/changing.py
@@ -1,7 +1,6 @@
 """Gives the orders that bring a group to a new expert map, or back."""
 
 from collections.abc import Iterable
-import dataclasses
 import math
 from typing import Any
 from typing import Protocol
@@ -68,19 +67,6 @@
         """
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pass:
-    """What is known of the passes of a group.
-
-    Attributes:
-        time_s: How long one takes at present.
-        lag_s: How old what a rank reports may be.
-    """
-
-    time_s: float
-    lag_s: float
-
-
 class Changer:
     """Changes the maps of groups; one change runs at a time."""
 
@@ -147,9 +133,8 @@
             if postponed > _MOST_POSTPONED:
                 change.give_up()
                 break
-            step = await self._next_step(
-                group, Pass(pass_s, layout.report_lag_s), lead_s
-            )
+            ahead_s = layout.report_lag_s + lead_s
+            step = await self._next_step(group, pass_s, ahead_s)
             change.copied(step + postponed * _POSTPONED_PASSES)
             self._entries.announce(peers.Change(service, change.plan()))
             await self._drive(change, group.seen.members, planned, _ARM_S)
@@ -209,13 +194,12 @@
         self._note("experts_freed", service, change)
 
     async def _next_step(
-        self, group: groups.Group, passes: Pass, lead_s: float
+        self, group: groups.Group, pass_s: float, ahead_s: float
     ) -> int:
         """Returns a pass that the group begins about then, or later."""
         report = await self._ranks.report(group.sampled)
         step = group.seen.step if report is None else report.step
-        pass_s = max(passes.time_s, _LEAST_PASS_S)
-        return step + math.ceil((passes.lag_s + lead_s) / pass_s)
+        return step + math.ceil(ahead_s / max(pass_s, _LEAST_PASS_S))
 
     async def _fences(self) -> int:
         """Returns the first of the fencing numbers for a change."""
@@ -244,7 +228,7 @@
         has_given_up = False
         while orders := change.orders():
             phase = change.phase
-            await together(
+            await groups.together(
                 self._order(change, endpoints.get(order.rank), order, experts)
                 for order in orders
             )
@@ -307,13 +291,3 @@
         for rank, held in enumerate(new_set):
             copied[rank] += len(set(held) - set(old_set[rank]))
     return max(copied)
-
-
-async def together(running: Iterable[Any]) -> list[Any]:
-    """Awaits coroutines side by side; raises what the first of them raised."""
-    deferreds = [defer.ensureDeferred(each) for each in running]
-    try:
-        return await defer.gatherResults(deferreds, consumeErrors=True)
-    except defer.FirstError as first:
-        first.subFailure.raiseException()
-        raise
--- a/libs/gateway/src/godwitdale_gateway/dialect.py
+++ b/libs/gateway/src/godwitdale_gateway/dialect.py
@@ -29,6 +29,11 @@
     prompt_tokens: int
     answer_tokens: float
 
+    @property
+    def shown_id(self) -> str:
+        """The request's id as logs show it."""
+        return self.request_id.decode("latin-1")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sending:
--- a/libs/gateway/src/godwitdale_gateway/expert_maps.py
+++ b/libs/gateway/src/godwitdale_gateway/expert_maps.py
@@ -166,6 +166,8 @@
 
     async def _watch(self, service: str, layout: routes.ExpertLayout) -> None:
         stalled_s = self._load.stalled_s(service)
+        if stalled_s <= _CHANGING_S:
+            return  # As nearly always.
         pass_s = self._load.pass_s(service)
         place = self._entries.seniority
         for announced in self._entries.changes():
@@ -262,7 +264,7 @@
             self._resting_until_s = now_s + _STAND_DOWN_S
 
     async def _read_map(self, group: groups.Group) -> None:
-        held = await changing.together(
+        held = await groups.together(
             self._ranks.held(each) for each in group.seen.members
         )
         if len({(each.epoch, each.version) for each in held}) > 1:
--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -355,7 +355,7 @@
             )
         self._tools.log.info(
             "answered",
-            request=job.ask.request_id.decode("latin-1"),
+            request=job.ask.shown_id,
             route=job.route.name,
             attempts=self._attempts,
             waited_s=round(times.waited_s, 3),
@@ -391,16 +391,15 @@
 
     def _own_failure(self) -> None:
         """Repeats what failed at the endpoint, or passes the failure on."""
-        refusal = outcomes.may_have_run(
-            outcomes.Reason.ENDPOINT_FAILED, f"answered {self._status}"
+        refusal = self._retry(
+            outcomes.may_have_run(
+                outcomes.Reason.ENDPOINT_FAILED, f"answered {self._status}"
+            )
         )
-        step = self._next_step(refusal)
-        self._leave_endpoint()
-        if isinstance(step, attempts_lib.TryAgain):
-            self._in_doubt = True
-            self._next_attempt()
-        elif self._has_head:
-            self._give_up(step.refusal)
+        if refusal is None:
+            return
+        if self._has_head:
+            self._give_up(refusal)
         else:
             self._answer_whole()
 
@@ -422,19 +421,22 @@
 
     # What follows a failed attempt.
 
-    def _next_step(self, refusal: outcomes.Refusal) -> attempts_lib.NextStep:
-        budget = self._tools.budgets.of(self._job.service)
-        return attempts_lib.after_failure(refusal, self._situation(), budget)
-
-    def _retry_or_give_up(self, refusal: outcomes.Refusal) -> None:
+    def _retry(self, refusal: outcomes.Refusal) -> outcomes.Refusal | None:
+        """Begins another attempt, or returns how the request ends."""
         self._leave_endpoint()
-        step = self._next_step(refusal)
+        budget = self._tools.budgets.of(self._job.service)
+        step = attempts_lib.after_failure(refusal, self._situation(), budget)
         if refusal.verdict is not verdict_lib.Verdict.NOT_RUN:
             self._in_doubt = True
-        if isinstance(step, attempts_lib.TryAgain):
-            self._next_attempt()
-        else:
-            self._give_up(step.refusal)
+        if isinstance(step, attempts_lib.GiveUp):
+            return step.refusal
+        self._next_attempt()
+        return None
+
+    def _retry_or_give_up(self, refusal: outcomes.Refusal) -> None:
+        end = self._retry(refusal)
+        if end is not None:
+            self._give_up(end)
 
     def _situation(self) -> attempts_lib.Situation:
         route = self._job.route
@@ -458,7 +460,7 @@
         refusal = attempts_lib.keep_doubt(refusal, self._in_doubt)
         self._tools.log.info(
             "refused",
-            request=self._job.ask.request_id.decode("latin-1"),
+            request=self._job.ask.shown_id,
             reason=refusal.reason.value,
             verdict=refusal.verdict.value,
             detail=refusal.detail,
@@ -483,7 +485,7 @@
         entry.tracked.health.failed(self._tools.reactor.seconds())
         self._tools.log.info(
             "attempt_failed",
-            request=self._job.ask.request_id.decode("latin-1"),
+            request=self._job.ask.shown_id,
             endpoint=entry.endpoint.id,
             detail=detail,
         )
--- a/libs/gateway/src/godwitdale_gateway/gateway.py
+++ b/libs/gateway/src/godwitdale_gateway/gateway.py
@@ -260,13 +260,8 @@
 
     def bounds(self) -> callers.Bounds:
         """Returns the bounds in force."""
-        limits = self._limits()
-        return callers.Bounds(
-            limits.head_bytes,
-            limits.body_bytes,
-            limits.head_timeout_s,
-            limits.idle_timeout_s,
-        )
+        configuration = self._configuration.current
+        return configuration.limits if configuration else _DEFAULT_LIMITS
 
     def is_draining(self) -> bool:
         """Tells whether connections are closed after their next answer."""
@@ -332,7 +327,7 @@
         configuration = self._configuration.current
         self._log.info(
             "refused",
-            request=ask.request_id.decode("latin-1"),
+            request=ask.shown_id,
             reason=refusal.reason.value,
             detail=refusal.detail,
             version=configuration.version if configuration else None,
@@ -344,10 +339,6 @@
             is_closing=refusal.reason is outcomes.Reason.STALE,
         )
 
-    def _limits(self) -> routes.CallerLimits:
-        configuration = self._configuration.current
-        return configuration.limits if configuration else _DEFAULT_LIMITS
-
     def _tick(self) -> None:
         if self.is_ready():
             self.life.started()
--- a/libs/gateway/src/godwitdale_gateway/groups.py
+++ b/libs/gateway/src/godwitdale_gateway/groups.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+from typing import Any
 
 from twisted.internet import defer
 
@@ -162,10 +163,7 @@
             service: Name of the service.
         """
         members = self.members(service)
-        reports = await defer.gatherResults(
-            [defer.ensureDeferred(self._report(each)) for each in members],
-            consumeErrors=True,
-        )
+        reports = await together(self._report(each) for each in members)
         return assemble(
             (endpoint, report)
             for endpoint, report in zip(members, reports, strict=True)
@@ -205,3 +203,13 @@
             members = tuple(ranked[rank][0] for rank in sorted(ranked))
             complete.append(Seen(name, epoch, members, reports))
     return complete
+
+
+async def together(running: Iterable[Any]) -> list[Any]:
+    """Awaits coroutines side by side; raises what the first of them raised."""
+    deferreds = [defer.ensureDeferred(each) for each in running]
+    try:
+        return await defer.gatherResults(deferreds, consumeErrors=True)
+    except defer.FirstError as first:
+        first.subFailure.raiseException()
+        raise
--- a/libs/gateway/src/godwitdale_gateway/placing.py
+++ b/libs/gateway/src/godwitdale_gateway/placing.py
@@ -198,8 +198,7 @@
         Args:
             service: Name of the service.
         """
-        entries = self._directory.of_service(service)
-        if not any(entry.tracked.sent for entry in entries):
+        if not self._has_own(service):
             return 0.0
         return self._reactor.seconds() - self._service(service).moved_s
 
@@ -359,6 +358,11 @@
         entries = self._directory.of_service(name)
         return sum(self._taken(entry) for entry in entries)
 
+    def _has_own(self, name: str) -> bool:
+        """Tells whether this entry has requests in work at a service."""
+        entries = self._directory.of_service(name)
+        return any(entry.tracked.sent for entry in entries)
+
     def _free(self, entry: directory_lib.Entry) -> int:
         return max(0, entry.endpoint.slots - self._taken(entry))
 
@@ -456,8 +460,7 @@
         chosen = self._directory.get(tracked.name)
         assert chosen is not None
         service = self._service(seeker.want.service)
-        entries = self._directory.of_service(seeker.want.service)
-        if not any(entry.tracked.sent for entry in entries):
+        if not self._has_own(seeker.want.service):
             service.moved_s = now_s
         chosen.tracked.sent += 1
         prompt = seeker.want.ask.prompt_tokens
--- a/libs/gateway/src/godwitdale_gateway/readiness.py
+++ b/libs/gateway/src/godwitdale_gateway/readiness.py
@@ -6,7 +6,8 @@
 from godwitdale_routing import routes
 
 _METRICS_TARGET = b"/metrics"
-_LIMITS = routes.CallerLimits()
+# Nobody has to send a body here.
+_LIMITS = routes.CallerLimits(body_bytes=0)
 
 
 class Status(Protocol):
@@ -28,12 +29,7 @@
 
     def bounds(self) -> callers.Bounds:
         """Returns bounds for the platform's requests."""
-        return callers.Bounds(
-            _LIMITS.head_bytes,
-            0,
-            _LIMITS.head_timeout_s,
-            _LIMITS.idle_timeout_s,
-        )
+        return _LIMITS
 
     def is_draining(self) -> bool:
         """Keeps the connections of the platform."""
--- a/libs/gateway/src/godwitdale_gateway/settings.py
+++ b/libs/gateway/src/godwitdale_gateway/settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 from typing import Protocol
 
+from godwitdale_gateway import changing
 from godwitdale_gateway import dialect as dialect_lib
 from godwitdale_gateway import following
 from godwitdale_gateway import knowledge
@@ -66,8 +67,8 @@
     ranks: ranks_lib.Ranks
 
 
-class Registry(Protocol):
-    """Where the entries find each other.
+class Registry(changing.Claims, Protocol):
+    """Where the entries find each other, and take duties.
 
     Its calls raise ``exceptions.PlatformUnavailableError``.
     """
@@ -77,6 +78,3 @@
 
     async def members(self) -> set[pool_lib.Address]:
         """Returns where entries may be reached."""
-
-    async def claim(self, name: str) -> int:
-        """Takes the duty over expert maps; returns its generation."""
--- a/libs/http/src/godwitdale_http/callers.py
+++ b/libs/http/src/godwitdale_http/callers.py
@@ -19,21 +19,24 @@
 _MOST_AHEAD_BYTES = 1 << 17
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Bounds:
-    """What a caller may send, and how long it may take.
+class Bounds(Protocol):
+    """What a caller may send, and how long it may take."""
 
-    Attributes:
-        head_bytes: Largest request line with headers.
-        body_bytes: Largest body.
-        head_timeout_s: Time for a whole head.
-        idle_timeout_s: Time without a request, or between parts of a body.
-    """
+    @property
+    def head_bytes(self) -> int:
+        """Largest request line with headers."""
 
-    head_bytes: int
-    body_bytes: int
-    head_timeout_s: float
-    idle_timeout_s: float
+    @property
+    def body_bytes(self) -> int:
+        """Largest body."""
+
+    @property
+    def head_timeout_s(self) -> float:
+        """Time for a whole head."""
+
+    @property
+    def idle_timeout_s(self) -> float:
+        """Time without a request, or between parts of a body."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
