Log the longest inter-event gap beside the estimated iteration time

With the longest gap that was observed in the same half second, a wrong estimate can be told from slow engines.

--- a/libs/gateway/src/godwitdale_gateway/scheduler.py
+++ b/libs/gateway/src/godwitdale_gateway/scheduler.py
@@ -110,6 +110,7 @@
             not declared.
         mean_iterations: Mean iterations of an answer, or 0 if not declared.
         consecutive_refusals: Refusals by endpoints since the last answer.
+        longest_gap_s: Longest inter-event gap since the load was last logged.
     """
 
     times: wait_queue.ServiceTimes
@@ -123,6 +124,7 @@
     tokens_per_iteration: int = 0
     mean_iterations: float = 0.0
     consecutive_refusals: int = 0
+    longest_gap_s: float = 0.0
 
 
 class Scheduler:
@@ -203,6 +205,7 @@
         state = self._state(service)
         now_s = self._reactor.seconds()
         state.progress_s = now_s
+        state.longest_gap_s = max(state.longest_gap_s, gap_s)
         if state.concurrency is None:
             return
         state.gap_objective_s = objective_s
@@ -374,8 +377,10 @@
                 pass_s=round(state.concurrency.iteration_s(running), 4),
                 idle_pass_s=round(state.concurrency.iteration_s(0), 4),
                 whole_s=round(state.times.total_s, 3),
+                longest_gap_s=round(state.longest_gap_s, 4),
                 waiting=len(state.queue),
             )
+            state.longest_gap_s = 0.0
 
     def own_load(self) -> peers.OwnLoad:
         """Returns the load of this entry for the other entries."""
