Model the iterations of each group of ranks on its own

Cause: the model knew of one group with as many ranks as a rank has slots. Its lower bound of the time per request came from the slots of a rank, so that the time of prompts was overestimated and the limit put so low that it was ignored; the prompts of the whole service were subtracted from the gaps of one group, and the requests of all groups counted for one of them. A group that was held by an entry that has gone was not noticed either while other groups progressed.

Change: the oldest entry reads once from each new rank which group it belongs to, the others ask it. Model, prompts, limit, stalls and busy ratio are kept by group; endpoints of unknown group share one model.

--- a/libs/gateway/src/godwitdale_gateway/expert_balancer.py
+++ b/libs/gateway/src/godwitdale_gateway/expert_balancer.py
@@ -23,6 +23,7 @@
 
 from godwitdale_experts import map_change
 from godwitdale_experts import replication
+from godwitdale_gateway import directory
 from godwitdale_gateway import groups
 from godwitdale_gateway import map_changer
 from godwitdale_gateway import ranks as ranks_lib
@@ -83,7 +84,13 @@
         """Returns the current iteration time, or 0 if it is unknown."""
 
     def iteration_ratio(self, service: str) -> float:
-        """Returns iteration time over the longest gap that is on time."""
+        """Returns iteration time over the longest gap that is on time.
+
+        Of the groups of the service, the one with the highest ratio counts.
+        """
+
+    def group_iteration_ratio(self, endpoint: directory.Endpoint) -> float:
+        """Returns the iteration ratio of the group of an endpoint."""
 
 
 class ExpertBalancer:
@@ -221,11 +228,15 @@
             ) != self._endpoint_ids(service):
                 await self._refresh_groups(service, layout)
             for group in list(self._groups.get(service, {}).values()):
-                await self._balance_group(service, group, layout)
+                if self._group_ratio(group) > _BUSY_ITERATION_RATIO:
+                    await self._balance_group(service, group, layout)
         except exceptions.PlatformUnavailableError as error:
             self._refreshed_ids.pop(service, None)
             self._log.info("experts_unread", service=service, detail=str(error))
 
+    def _group_ratio(self, group: groups.GroupState) -> float:
+        return self._load.group_iteration_ratio(group.sampled_endpoint)
+
     def _endpoint_ids(self, service: str) -> frozenset[str]:
         return frozenset(
             each.id for each in self._group_reader.endpoints(service)
@@ -344,7 +355,7 @@
             "experts_planned",
             service=service,
             group=group.status.name,
-            strain=round(self._load.iteration_ratio(service), 2),
+            strain=round(self._group_ratio(group), 2),
             skew=round(old_skew, 2),
             planned_skew=round(new_skew, 2),
             copies=copy_count,
--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -406,14 +406,16 @@
         """Reports the arrival of an answer part to the scheduler."""
         now_s = self._context.reactor.seconds()
         scheduler = self._context.scheduler
-        service = self._request.service
         gap_s = self._times.on_part(now_s)
+        record = self._endpoint_record
+        if record is None:
+            return
         if gap_s is None:
-            scheduler.observe_first(service, now_s - self._times.sent_s)
+            scheduler.observe_first(record.endpoint, now_s - self._times.sent_s)
             return
         objective_s = self._request.route.gap_objective_s
         if objective_s is not None:
-            scheduler.observe_gap(service, gap_s, objective_s)
+            scheduler.observe_gap(record.endpoint, gap_s, objective_s)
 
     def _record_end(self) -> None:
         now_s = self._context.reactor.seconds()
--- a/libs/gateway/src/godwitdale_gateway/gateway.py
+++ b/libs/gateway/src/godwitdale_gateway/gateway.py
@@ -19,7 +19,9 @@
 from godwitdale_gateway import expert_balancer
 from godwitdale_gateway import forwarding
 from godwitdale_gateway import groups
+from godwitdale_gateway import iteration_groups
 from godwitdale_gateway import map_changer
+from godwitdale_gateway import member_reader
 from godwitdale_gateway import part_guard
 from godwitdale_gateway import peers as peers_lib
 from godwitdale_gateway import readiness
@@ -141,8 +143,10 @@
         ]
         self._endpoints.follower = self._followers[1]
         self._peer_loads = peer_load.PeerLoads()
+        members = iteration_groups.GroupMembers()
         self._scheduler = scheduler_lib.Scheduler(
             self._directory,
+            members,
             self._peer_loads,
             choice.LeastLoaded(self._rng),
             self._pool.has_idle,
@@ -166,6 +170,7 @@
                 self._configuration, self._followers, reactor
             ),
             self._part_guard,
+            members,
             self._scheduler.assign_all_waiting,
             self._scheduler.on_map_change,
             reactor,
@@ -175,6 +180,14 @@
         group_reader = groups.GroupReader(
             adapters.rank_client, self._directory, self._log
         )
+        self._member_reader = member_reader.MemberReader(
+            adapters.rank_client,
+            self._directory,
+            members,
+            self._peers,
+            reactor,
+            self._log,
+        )
         changer = map_changer.MapChanger(
             settings.name,
             adapters.rank_client,
@@ -255,6 +268,7 @@
         for follower in self._followers:
             self._run_task(follower.run())
         self._run_task(self._register_with_peers())
+        self._run_task(self._member_reader.run())
         self._run_task(self._expert_balancer.run())
         self._run_task(self._expert_balancer.watch())
         self._tick_timer.start(_TICK_INTERVAL_S, now=False)
@@ -420,6 +434,7 @@
     ) -> None:
         self._scheduler.configure(configuration.engines)
         self._expert_balancer.configure(configuration.engines)
+        self._member_reader.configure(configuration.engines)
 
     def _on_load_change(self) -> None:
         self._peers.schedule_broadcast()
--- a/libs/gateway/src/godwitdale_gateway/peers.py
+++ b/libs/gateway/src/godwitdale_gateway/peers.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 from typing import Any
 from typing import Protocol
@@ -14,6 +15,7 @@
 from twisted.internet import protocol
 
 from godwitdale_experts import map_change
+from godwitdale_gateway import iteration_groups
 from godwitdale_http import pool as pool_lib
 from godwitdale_observe import logs
 from godwitdale_routing import peer_load
@@ -44,6 +46,10 @@
 # Number of ended map changes whose versions are remembered. Announcements of
 # these versions are ignored.
 _MAX_ENDED_CHANGES = 16
+# Largest number of endpoints in one query for their groups, so that the reply
+# fits into a datagram, and of such queries that are sent at once.
+_MAX_QUERIED_MEMBERS = 32
+_MAX_MEMBER_QUERIES = 8
 # Number of messages that are sent to an address that has not answered yet.
 _MAX_INTRODUCTIONS = 5
 
@@ -79,8 +85,8 @@
             until it is due.
         positions: By topic, the position up to which the sender has read it
             and the milliseconds since this was certainly the end of the topic.
-        sent_prompt_tokens: By service, the prompt tokens that this incarnation
-            has sent.
+        sent_prompt_tokens: By iteration group, the prompt tokens that this
+            incarnation has sent.
         announced_change: The change of an expert map that the sender is about
             to make, or None.
         is_draining: Whether the sender accepts no new connections.
@@ -130,7 +136,29 @@
     age_ms: int
 
 
-Message = LoadMessage | FreshnessQuery | FreshnessReply
+class MemberQuery(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Asks another entry for the groups of endpoints.
+
+    Attributes:
+        endpoint_ids: Ids of the endpoints.
+    """
+
+    endpoint_ids: list[str]
+
+
+class MemberReply(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Reply to a query for groups, without endpoints that are not known.
+
+    Attributes:
+        groups: Name and size of the group by id of the endpoint.
+    """
+
+    groups: dict[str, tuple[str, int]]
+
+
+Message = (
+    LoadMessage | FreshnessQuery | FreshnessReply | MemberQuery | MemberReply
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
@@ -173,8 +201,8 @@
     Attributes:
         in_flight: Number of requests in flight by endpoint.
         queue_heads: The most urgent waiting requests by service.
-        sent_prompt_tokens: By service, the prompt tokens that this incarnation
-            has sent.
+        sent_prompt_tokens: By iteration group, the prompt tokens that this
+            incarnation has sent.
     """
 
     in_flight: dict[str, int]
@@ -217,8 +245,9 @@
         own_load: Callable[[], OwnLoad],
         copies: TopicCopies,
         part_reports: PartReports,
+        members: iteration_groups.GroupMembers,
         on_change: Callable[[], None],
-        on_map_change_end: Callable[[str], None],
+        on_map_change_end: Callable[[str, Sequence[str]], None],
         reactor: Any,
         log: logs.EventLog,
     ) -> None:
@@ -231,10 +260,11 @@
             own_load: Returns the load of this entry.
             copies: The copies of the store's topics that this entry keeps.
             part_reports: What this entry knows of parts that crash endpoints.
+            members: Groups of the endpoints.
             on_change: Called when the load of another entry has changed.
-            on_map_change_end: Called with the name of a service when the end of
-                a change of one of its expert maps is announced, whatever the
-                outcome of the change.
+            on_map_change_end: Called with the name of a service and the ids of
+                the ranks of a group when the end of a change of the expert map
+                of the group is announced, whatever the outcome of the change.
             reactor: The Twisted reactor.
             log: The event log.
         """
@@ -243,6 +273,7 @@
         self._own_load = own_load
         self._copies = copies
         self._part_reports = part_reports
+        self._members = members
         self._query_times_s: dict[int, float] = {}
         self._last_query_id = 0
         self._on_change = on_change
@@ -385,8 +416,12 @@
             self._on_load(address, message)
         elif isinstance(message, FreshnessQuery):
             self._on_freshness_query(address, message)
-        else:
+        elif isinstance(message, FreshnessReply):
             self._on_freshness_reply(message)
+        elif isinstance(message, MemberQuery):
+            self._on_member_query(address, message)
+        else:
+            self._on_member_reply(message)
 
     def query_freshness(self, topic: str) -> bool:
         """Asks the entries with the freshest copies of a topic to confirm it.
@@ -406,11 +441,51 @@
         self._query_times_s[self._last_query_id] = self._reactor.seconds()
         for query_id in list(self._query_times_s)[:-_MAX_OPEN_QUERIES]:
             del self._query_times_s[query_id]
-        query = _encoder.encode(FreshnessQuery(self._last_query_id, topic))
+        query = FreshnessQuery(self._last_query_id, topic)
         for address in targets[:_QUERIED_PEERS]:
-            self.transport.write(query, (address.host, address.port))
+            self._send(address, query)
         return True
 
+    def query_members(self, endpoint_ids: Sequence[str]) -> None:
+        """Asks the oldest entry for the groups of endpoints.
+
+        Args:
+            endpoint_ids: Ids of the endpoints. A part of a long list is left
+                out.
+        """
+        oldest = min(
+            self._peers, key=lambda each: self._peers[each].name, default=None
+        )
+        if oldest is None:
+            return
+        end = min(len(endpoint_ids), _MAX_QUERIED_MEMBERS * _MAX_MEMBER_QUERIES)
+        for start in range(0, end, _MAX_QUERIED_MEMBERS):
+            ids = endpoint_ids[start : start + _MAX_QUERIED_MEMBERS]
+            self._send(oldest, MemberQuery(list(ids)))
+
+    def _on_member_query(
+        self, address: pool_lib.Address, query: MemberQuery
+    ) -> None:
+        groups = {
+            endpoint_id: (membership.group, membership.size)
+            for endpoint_id in query.endpoint_ids[:_MAX_QUERIED_MEMBERS]
+            if (membership := self._members.get(endpoint_id)) is not None
+        }
+        if groups:
+            self._send(address, MemberReply(groups))
+
+    def _on_member_reply(self, reply: MemberReply) -> None:
+        self._members.update(
+            {
+                endpoint_id: iteration_groups.Membership(group, size)
+                for endpoint_id, (group, size) in reply.groups.items()
+            }
+        )
+
+    def _send(self, address: pool_lib.Address, message: Message) -> None:
+        data = _encoder.encode(message)
+        self.transport.write(data, (address.host, address.port))
+
     def _as_of_s(self, address: pool_lib.Address, topic: str) -> float:
         """Estimates when an entry's copy of a topic was last up to date.
 
@@ -430,8 +505,7 @@
         reply = FreshnessReply(
             query.query_id, query.topic, position, _age_ms(age_s)
         )
-        data = _encoder.encode(reply)
-        self.transport.write(data, (address.host, address.port))
+        self._send(address, reply)
 
     def _on_freshness_reply(self, reply: FreshnessReply) -> None:
         """Confirms the copy of a topic as of the time that a reply proves.
@@ -580,7 +654,7 @@
         version = ended.plan.version
         if version not in self._ended_versions:
             self._ended_versions.append(version)
-            self._on_map_change_end(ended.service)
+            self._on_map_change_end(ended.service, ended.plan.ranks)
         for each in self._peers.values():
             if each.change is not None and each.change.plan.version == version:
                 each.change = None
--- a/libs/gateway/src/godwitdale_gateway/scheduler.py
+++ b/libs/gateway/src/godwitdale_gateway/scheduler.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 import random
 from typing import Any
 from typing import Protocol
 
 from godwitdale_gateway import directory as directory_lib
+from godwitdale_gateway import iteration_groups
 from godwitdale_gateway import peers
 from godwitdale_observe import logs
 from godwitdale_routing import choice
@@ -32,9 +34,6 @@
 # than 2 s are left. After a refusal because of the wait queue, the retry delay
 # does not depend on the time left.
 _RETRY_TIME_SHARE = 0.15
-# Events of two streams belong to the same iteration if they arrive closer
-# together than this share of the inter-event gap.
-_SAME_ITERATION_SHARE = 0.5
 # Iterations from sending a request to its first event, including those that
 # process the prompt.
 _ITERATIONS_TO_FIRST = 1.9
@@ -97,34 +96,29 @@
     Attributes:
         times: Service times.
         queue: The waiting requests.
-        concurrency: Model of the iteration time, or None if the service
+        engine: Declared properties of the engines, or None if the service
             declares no step time.
-        gap_objective_s: Longest inter-event gap that is on time, or None if
-            no gap has been observed yet.
+        groups: The iteration groups, by name.
         spare_capacity_s: When more permits were last free than are reserved.
-        iteration_ended_s: When an iteration last ended.
-        progress_s: When a stream last received an event, or when the first
-            request of an idle entry was last assigned.
-        sent_prompt_tokens: Prompt tokens sent since the start.
+        sent_prompt_tokens: Prompt tokens sent since the start, by iteration
+            group.
         tokens_per_iteration: Tokens of one stream in an iteration, or 0 if
             not declared.
         mean_iterations: Mean iterations of an answer, or 0 if not declared.
         consecutive_refusals: Refusals by endpoints since the last answer.
-        longest_gap_s: Longest inter-event gap since the load was last logged.
     """
 
     times: wait_queue.ServiceTimes
     queue: wait_queue.WaitQueue[PendingRequest]
-    concurrency: concurrency_lib.ConcurrencyModel | None = None
-    gap_objective_s: float | None = None
+    engine: routes.Engine | None = None
+    groups: dict[str, iteration_groups.IterationGroup] = dataclasses.field(
+        default_factory=dict
+    )
     spare_capacity_s: float = 0.0
-    iteration_ended_s: float = 0.0
-    progress_s: float = 0.0
-    sent_prompt_tokens: int = 0
+    sent_prompt_tokens: dict[str, int] = dataclasses.field(default_factory=dict)
     tokens_per_iteration: int = 0
     mean_iterations: float = 0.0
     consecutive_refusals: int = 0
-    longest_gap_s: float = 0.0
 
 
 class Scheduler:
@@ -133,6 +127,7 @@
     def __init__(
         self,
         directory: directory_lib.Directory,
+        members: iteration_groups.GroupMembers,
         peer_loads: peer_load.PeerLoads,
         chooser: choice.Chooser,
         has_idle_connection: Callable[[str], bool],
@@ -145,6 +140,7 @@
 
         Args:
             directory: The endpoints.
+            members: Groups of the endpoints.
             peer_loads: The load of the other entries.
             chooser: Picks one of several endpoints.
             has_idle_connection: Returns whether an idle connection to an
@@ -155,6 +151,7 @@
             on_change: Called when the load of this entry has changed.
         """
         self._directory = directory
+        self._members = members
         self._peer_loads = peer_loads
         self._chooser = chooser
         self._has_idle_connection = has_idle_connection
@@ -180,111 +177,133 @@
         """
         for service, engine in engines.items():
             state = self._state(service)
-            if state.concurrency is None and engine.step_s > 0:
-                state.concurrency = concurrency_lib.ConcurrencyModel(
-                    _declared_times(engine)
-                )
+            if state.engine is None and engine.step_s > 0:
+                state.engine = engine
                 state.tokens_per_iteration = engine.steps_per_iteration
                 state.mean_iterations = (
                     engine.mean_answer_tokens / engine.steps_per_iteration
                 )
 
     def observe_gap(
-        self, service: str, gap_s: float, objective_s: float
+        self,
+        endpoint: directory_lib.Endpoint,
+        gap_s: float,
+        objective_s: float,
     ) -> None:
         """Records an inter-event gap of a stream.
 
-        All ranks of a group end an iteration together. Events that arrive
-        close together are therefore counted as one iteration.
-
         Args:
-            service: Name of the service.
+            endpoint: Endpoint that sends the stream.
             gap_s: The inter-event gap.
             objective_s: Longest gap that is on time.
         """
+        service = endpoint.service
         state = self._state(service)
-        now_s = self._reactor.seconds()
-        state.progress_s = now_s
-        state.longest_gap_s = max(state.longest_gap_s, gap_s)
-        if state.concurrency is None:
+        group = self._group_of(endpoint)
+        if group is None:
             return
-        state.gap_objective_s = objective_s
-        if now_s - state.iteration_ended_s < gap_s * _SAME_ITERATION_SHARE:
+        now_s = self._reactor.seconds()
+        if not group.observe_gap(gap_s, objective_s, now_s):
             return
-        state.iteration_ended_s = now_s
-        running = self._service_in_flight(service)
-        tokens = self._peer_loads.prompt_tokens_between(
-            service, now_s - 2 * gap_s, now_s - gap_s
-        )
-        state.concurrency.observe(gap_s, running, tokens, objective_s)
-        iteration_s = state.concurrency.iteration_s(running)
+        running = self._load_of(endpoint).in_flight
+        group.observe_iteration(gap_s, objective_s, running, now_s)
+        iteration_s = self.iteration_s(service)
         state.times.time_to_first_s = iteration_s * _ITERATIONS_TO_FIRST
         if state.mean_iterations > 0:
             iterations = _ITERATIONS_TO_FIRST + state.mean_iterations
             state.times.total_s = iteration_s * iterations
         self.assign_waiting(service)
 
-    def observe_first(self, service: str, took_s: float) -> None:
+    def observe_first(
+        self, endpoint: directory_lib.Endpoint, took_s: float
+    ) -> None:
         """Records that an endpoint has begun to answer a request.
 
         Args:
-            service: Name of the service.
+            endpoint: The endpoint.
             took_s: Time from sending the request to the first part.
         """
+        service = endpoint.service
         state = self._state(service)
         state.consecutive_refusals = 0
-        state.progress_s = self._reactor.seconds()
+        group = self._group_of(endpoint)
+        if group is not None:
+            group.progress_s = self._reactor.seconds()
         state.times.observe_first(took_s)
 
     def stalled_s(self, service: str) -> float:
-        """Returns the time since a stream of this entry last got an event.
+        """Returns the time since all streams of a group last got an event.
 
-        The time is 0 while this entry has no requests in flight. It begins with
-        the first of these requests if no stream has got an event since then.
+        Of the iteration groups of the service, the one counts whose streams
+        wait longest. A group counts only while this entry has requests in
+        flight there. Its time begins with the first of these requests if no
+        stream has got an event since then.
 
         Args:
             service: Name of the service.
         """
-        if not self._has_own_requests(service):
-            return 0.0
-        return self._reactor.seconds() - self._state(service).progress_s
+        now_s = self._reactor.seconds()
+        return max(
+            (
+                now_s - group.progress_s
+                for group, load in self._modelled_groups(service)
+                if load.own_in_flight
+            ),
+            default=0.0,
+        )
 
     def iteration_ratio(self, service: str) -> float:
         """Returns the iteration time over the longest gap that is on time.
 
-        The ratio is 0 until the first gap has been observed.
+        Of the iteration groups, the one with the highest ratio counts. The
+        ratio is 0 until the first gap has been observed.
 
         Args:
             service: Name of the service.
         """
-        objective_s = self._state(service).gap_objective_s
-        return self.iteration_s(service) / objective_s if objective_s else 0.0
+        return max(
+            (
+                group.ratio(load.in_flight)
+                for group, load in self._modelled_groups(service)
+            ),
+            default=0.0,
+        )
 
     def iteration_s(self, service: str) -> float:
-        """Returns the current iteration time, or 0 if it is not modelled.
+        """Returns the mean iteration time, or 0 if it is not modelled.
 
         Args:
             service: Name of the service.
         """
-        concurrency = self._state(service).concurrency
-        if concurrency is None:
+        return iteration_groups.mean_iteration_s(self._modelled_groups(service))
+
+    def group_iteration_ratio(self, endpoint: directory_lib.Endpoint) -> float:
+        """Returns the iteration ratio of the group of an endpoint."""
+        group = self._group_of(endpoint)
+        if group is None:
             return 0.0
-        return concurrency.iteration_s(self._service_in_flight(service))
+        return group.ratio(self._load_of(endpoint).in_flight)
 
-    def on_map_change(self, service: str) -> None:
+    def on_map_change(self, service: str, ranks: Sequence[str]) -> None:
         """Discounts observed iteration times when a new map should be in use.
 
         They are discounted even if the change did not take effect.
 
         Args:
-            service: Name of the service for which the end of a change of an
+            service: Name of the service.
+            ranks: Ids of the endpoints for which the end of a change of their
                 expert map was announced.
         """
-        concurrency = self._state(service).concurrency
-        if concurrency is not None:
-            self._reactor.callLater(
-                _MAP_CHANGE_DELAY_S, concurrency.discount_history
-            )
+        names = {
+            self._members.key(record.endpoint)
+            for record in map(self._directory.get, ranks)
+            if record is not None
+        }
+        for name, group in self._state(service).groups.items():
+            if name in names:
+                self._reactor.callLater(
+                    _MAP_CHANGE_DELAY_S, group.model.discount_history
+                )
 
     def retry_after_refusal_s(self, service: str, left_s: float) -> float:
         """Returns the retry delay for a request that an endpoint refused.
@@ -344,9 +363,10 @@
         for urgency, request in state.queue.sorted_by_urgency(
             state.times, now_s
         ):
-            if not self._is_next_in_line(request, urgency, now_s):
+            permits = self._free_permits(request.placement, now_s)
+            if not self._is_next_in_line(request, urgency, permits, now_s):
                 return
-            candidates = self._candidates(request, now_s)
+            candidates = self._candidates(request, permits, now_s)
             if candidates:
                 self._cancel_timer(request)
                 state.queue.remove(request)
@@ -364,23 +384,28 @@
         left out.
         """
         for service, state in self._states.items():
-            records = self._directory.of_service(service)
-            running = self._service_in_flight(service)
-            if running == 0 or state.concurrency is None:
-                continue
-            self._log.info(
-                "service_load",
-                service=service,
-                running=running,
-                limit=self._concurrency_limit(service, records),
-                slots=sum(record.endpoint.slots for record in records),
-                pass_s=round(state.concurrency.iteration_s(running), 4),
-                idle_pass_s=round(state.concurrency.iteration_s(0), 4),
-                whole_s=round(state.times.total_s, 3),
-                longest_gap_s=round(state.longest_gap_s, 4),
-                waiting=len(state.queue),
-            )
-            state.longest_gap_s = 0.0
+            groups = self._modelled_groups(service)
+            names = {load.name for _, load in groups}
+            for name in state.groups.keys() - names:
+                del state.groups[name]
+            for group, load in groups:
+                if load.in_flight == 0:
+                    continue
+                model = group.model
+                self._log.info(
+                    "service_load",
+                    service=service,
+                    group=load.name,
+                    running=load.in_flight,
+                    limit=group.max_running(load.slots),
+                    slots=load.slots,
+                    pass_s=round(model.iteration_s(load.in_flight), 4),
+                    idle_pass_s=round(model.iteration_s(0), 4),
+                    longest_gap_s=round(group.longest_gap_s, 4),
+                    whole_s=round(state.times.total_s, 3),
+                    waiting=len(state.queue),
+                )
+                group.longest_gap_s = 0.0
 
     def own_load(self) -> peers.OwnLoad:
         """Returns the load of this entry for the other entries."""
@@ -401,9 +426,9 @@
             if len(state.queue)
         }
         sent_prompt_tokens = {
-            service: state.sent_prompt_tokens
-            for service, state in self._states.items()
-            if state.sent_prompt_tokens
+            name: tokens
+            for state in self._states.values()
+            for name, tokens in state.sent_prompt_tokens.items()
         }
         return peers.OwnLoad(in_flight, queue_heads, sent_prompt_tokens)
 
@@ -424,39 +449,97 @@
             record.endpoint.id
         )
 
-    def _service_in_flight(self, service: str) -> int:
-        """Returns the requests of all entries in flight at a service."""
-        records = self._directory.of_service(service)
-        return sum(self._in_flight(record) for record in records)
+    def _group_loads(
+        self, service: str
+    ) -> dict[str, iteration_groups.GroupLoad]:
+        return iteration_groups.group_loads(
+            self._directory.of_service(service), self._members, self._peer_loads
+        )
 
-    def _has_own_requests(self, service: str) -> bool:
-        """Returns whether this entry has requests in flight at a service."""
-        records = self._directory.of_service(service)
-        return any(record.stats.in_flight for record in records)
+    def _load_of(
+        self, endpoint: directory_lib.Endpoint
+    ) -> iteration_groups.GroupLoad:
+        """Returns the load of the iteration group of an endpoint."""
+        name = self._members.key(endpoint)
+        load = self._group_loads(endpoint.service).get(name)
+        return load or iteration_groups.GroupLoad(name, size=1)
+
+    def _group_of(
+        self, endpoint: directory_lib.Endpoint
+    ) -> iteration_groups.IterationGroup | None:
+        """Returns the iteration group of an endpoint; see ``_group``."""
+        state = self._state(endpoint.service)
+        known = state.groups.get(self._members.key(endpoint))
+        return known or self._group(endpoint.service, self._load_of(endpoint))
+
+    def _group(
+        self, service: str, load: iteration_groups.GroupLoad
+    ) -> iteration_groups.IterationGroup | None:
+        """Returns an iteration group, or None if no step time is declared."""
+        state = self._state(service)
+        if state.engine is None:
+            return None
+        group = state.groups.get(load.name)
+        if group is None:
+            model = concurrency_lib.ConcurrencyModel(
+                iteration_groups.declared_times(state.engine, load.size)
+            )
+            group = iteration_groups.IterationGroup(
+                load.name, model, self._peer_loads
+            )
+            state.groups[load.name] = group
+        return group
+
+    def _modelled_groups(
+        self, service: str
+    ) -> list[
+        tuple[iteration_groups.IterationGroup, iteration_groups.GroupLoad]
+    ]:
+        """Returns the iteration groups with declared times, with their load."""
+        pairs = [
+            (self._group(service, load), load)
+            for load in self._group_loads(service).values()
+        ]
+        return [(group, load) for group, load in pairs if group is not None]
 
     def _free_slots(self, record: directory_lib.EndpointRecord) -> int:
         return max(0, record.endpoint.slots - self._in_flight(record))
 
     def _candidates(
-        self, request: PendingRequest, now_s: float
+        self,
+        request: PendingRequest,
+        permits: Mapping[str, int],
+        now_s: float,
     ) -> list[directory_lib.EndpointRecord]:
+        """Returns the endpoints that a request may be sent to now.
+
+        Args:
+            request: The request.
+            permits: Free permits by iteration group.
+            now_s: The current time.
+        """
         usable = self._directory.candidates(
             request.placement.service, request.tried_endpoints, now_s
         )
-        return [record for record in usable if self._free_slots(record)]
+        return [
+            record
+            for record in usable
+            if self._free_slots(record)
+            and permits.get(self._members.key(record.endpoint), 0) > 0
+        ]
 
     def _is_next_in_line(
-        self, request: PendingRequest, urgency: wait_queue.Urgency, now_s: float
+        self,
+        request: PendingRequest,
+        urgency: wait_queue.Urgency,
+        permits: Mapping[str, int],
+        now_s: float,
     ) -> bool:
         service = request.placement.service
         peer_heads = self._peer_loads.queue_heads(service, now_s)
-        records = self._directory.of_service(service)
-        prompt_tokens = request.placement.traits.prompt_tokens
-        free_permits = self._free_permits(
-            service, records, prompt_tokens, now_s
-        )
+        free_permits = sum(permits.values())
         reserved_permits = wait_queue.reserved_permits(
-            self._concurrency_limit(service, records)
+            self._concurrency_limit(service)
         )
         if free_permits > reserved_permits:
             self._state(service).spare_capacity_s = now_s
@@ -465,51 +548,43 @@
         )
 
     def _free_permits(
-        self,
-        service: str,
-        records: list[directory_lib.EndpointRecord],
-        prompt_tokens: int,
-        now_s: float,
-    ) -> int:
-        """Returns the free permits within the concurrency limit of a service.
+        self, placement: PlacementRequest, now_s: float
+    ) -> dict[str, int]:
+        """Returns the free permits within the concurrency limits of a service.
 
         Args:
-            service: Name of the service.
-            records: Endpoints of the service.
-            prompt_tokens: Length of the prompt that would be sent.
+            placement: The request whose prompt would be sent.
             now_s: The current time.
+
+        Returns:
+            Free permits by iteration group, for the groups that have any.
         """
-        free_slots = sum(self._free_slots(record) for record in records)
-        in_flight = sum(self._in_flight(record) for record in records)
-        state = self._state(service)
-        tokens = 0.0
-        if state.concurrency is not None:
-            # An entry without a stream of its own observes no iteration end.
-            # It takes the iteration to have begun one iteration time ago.
-            iteration_s = state.concurrency.iteration_s(in_flight)
-            since_s = max(state.iteration_ended_s, now_s - iteration_s)
-            tokens = state.concurrency.capped_prompt_tokens(prompt_tokens)
-            tokens += self._peer_loads.prompt_tokens_between(
-                service, since_s, now_s
+        service = placement.service
+        free: dict[str, int] = {}
+        for name, load in self._group_loads(service).items():
+            permits = load.free_slots
+            group = self._group(service, load)
+            if group is not None:
+                limit = group.max_running_with(
+                    placement.traits.prompt_tokens,
+                    load.in_flight,
+                    load.slots,
+                    now_s,
+                )
+                permits = min(permits, limit - load.in_flight)
+            if permits > 0:
+                free[name] = permits
+        return free
+
+    def _concurrency_limit(self, service: str) -> int:
+        """Returns the sum of the concurrency limits of the groups."""
+        limit = 0
+        for load in self._group_loads(service).values():
+            group = self._group(service, load)
+            limit += (
+                load.slots if group is None else group.max_running(load.slots)
             )
-        return min(
-            free_slots,
-            self._concurrency_limit(service, records, tokens) - in_flight,
-        )
-
-    def _concurrency_limit(
-        self,
-        service: str,
-        records: list[directory_lib.EndpointRecord],
-        tokens: float = 0.0,
-    ) -> int:
-        state = self._state(service)
-        slots = sum(record.endpoint.slots for record in records)
-        if state.concurrency is None or state.gap_objective_s is None:
-            return slots
-        return state.concurrency.max_running(
-            state.gap_objective_s, slots, tokens
-        )
+        return limit
 
     def _try_assign(
         self, request: PendingRequest, urgency: wait_queue.Urgency, now_s: float
@@ -519,9 +594,10 @@
         queued = state.queue.sorted_by_urgency(state.times, now_s)
         if queued and queued[0][0] < urgency:
             return False
-        if not self._is_next_in_line(request, urgency, now_s):
+        permits = self._free_permits(request.placement, now_s)
+        if not self._is_next_in_line(request, urgency, permits, now_s):
             return False
-        candidates = self._candidates(request, now_s)
+        candidates = self._candidates(request, permits, now_s)
         if not candidates:
             return False
         self._assign(request, candidates, now_s)
@@ -550,18 +626,28 @@
         )
         chosen = self._directory.get(chosen_stats.name)
         assert chosen is not None
-        state = self._state(request.placement.service)
-        if not self._has_own_requests(request.placement.service):
-            state.progress_s = now_s
+        load = self._load_of(chosen.endpoint)
+        group = self._group(request.placement.service, load)
+        if group is not None and not load.own_in_flight:
+            group.progress_s = now_s
         chosen.stats.in_flight += 1
-        prompt_tokens = request.placement.traits.prompt_tokens
-        state.sent_prompt_tokens += prompt_tokens
-        self._peer_loads.record_prompt(
-            request.placement.service, prompt_tokens, now_s
+        self._record_prompt(
+            request.placement.service,
+            load.name,
+            request.placement.traits.prompt_tokens,
+            now_s,
         )
         self._on_change()
         request.on_assigned(chosen)
 
+    def _record_prompt(
+        self, service: str, group_name: str, tokens: int, now_s: float
+    ) -> None:
+        """Counts a prompt that is sent to an iteration group."""
+        sent = self._state(service).sent_prompt_tokens
+        sent[group_name] = sent.get(group_name, 0) + tokens
+        self._peer_loads.record_prompt(group_name, tokens, now_s)
+
     def _duration_refusal(
         self, placement: PlacementRequest, now_s: float
     ) -> outcomes.Refusal | None:
@@ -571,10 +657,14 @@
         ``_MAX_DURATION_RATIO`` times the time left.
         """
         state = self._state(placement.service)
-        if state.concurrency is None or state.tokens_per_iteration <= 0:
+        if state.tokens_per_iteration <= 0:
             return None
-        iteration_s = state.concurrency.iteration_s(
-            self._service_in_flight(placement.service)
+        iteration_s = min(
+            (
+                group.model.iteration_s(load.in_flight)
+                for group, load in self._modelled_groups(placement.service)
+            ),
+            default=0.0,
         )
         total_s = (
             iteration_s
@@ -610,7 +700,7 @@
                 "no endpoint takes work",
                 retry_after_s=self._with_jitter(_NO_ENDPOINT_RETRY_S),
             )
-        permits = self._concurrency_limit(service, records)
+        permits = self._concurrency_limit(service)
         permit_interval_s = state.times.permit_interval_s(permits)
         spare_age_s = now_s - state.spare_capacity_s
         others = self._peer_loads.queue_heads(service, now_s)
@@ -667,18 +757,3 @@
             return
         state.queue.remove(request)
         request.on_refused(refusal)
-
-
-def _declared_times(engine: routes.Engine) -> concurrency_lib.DeclaredTimes:
-    per_request_s = engine.steps_per_iteration * engine.step_per_request_s
-    prefill_tokens_per_s = engine.prefill_tokens_per_s
-    return concurrency_lib.DeclaredTimes(
-        base_s=engine.steps_per_iteration * engine.step_s,
-        per_request_s=per_request_s,
-        even_load_share=1 / max(1, engine.slots),
-        rank_local_share=1 - engine.expert_share,
-        prefill_per_token_s=1 / prefill_tokens_per_s
-        if prefill_tokens_per_s > 0
-        else 0.0,
-        mean_prompt_tokens=engine.mean_prompt_tokens,
-    )
--- a/libs/routing/src/godwitdale_routing/peer_load.py
+++ b/libs/routing/src/godwitdale_routing/peer_load.py
@@ -16,9 +16,9 @@
 # An entry whose last report is older than this no longer counts. The timeout
 # covers three heartbeats of ``godwitdale_gateway.peers``.
 PEER_TIMEOUT_S = 3.2
-# Records of sent prompts that are kept for each service. This is far more than
-# the number within the last two iterations, the only ones that the scheduler
-# asks for.
+# Records of sent prompts that are kept for each iteration group. This is far
+# more than the number within the last two iterations, the only ones that the
+# scheduler asks for.
 _MAX_PROMPT_RECORDS = 64
 # Most urgent waiting requests that an entry reports for each service.
 MAX_QUEUE_HEADS = 4
@@ -32,8 +32,8 @@
         sequence: Increases with each report of one incarnation of the entry.
         in_flight: Requests in flight by endpoint.
         queue_heads: Most urgent waiting requests by service.
-        sent_prompt_tokens: By service, prompt tokens of all requests that this
-            incarnation of the entry has sent.
+        sent_prompt_tokens: By iteration group, prompt tokens of all requests
+            that this incarnation of the entry has sent.
     """
 
     sequence: int
@@ -74,47 +74,45 @@
         self._received_s[peer] = now_s
         self._loads[peer] = load
         if previous is not None:
-            for service, tokens in load.sent_prompt_tokens.items():
-                new_tokens = tokens - previous.sent_prompt_tokens.get(
-                    service, 0
-                )
-                self.record_prompt(service, new_tokens, now_s)
+            for group, tokens in load.sent_prompt_tokens.items():
+                new_tokens = tokens - previous.sent_prompt_tokens.get(group, 0)
+                self.record_prompt(group, new_tokens, now_s)
         if previous is not None and previous.in_flight == load.in_flight:
             return previous.queue_heads != load.queue_heads
         self._update_totals()
         return True
 
-    def record_prompt(self, service: str, tokens: int, now_s: float) -> None:
+    def record_prompt(self, group: str, tokens: int, now_s: float) -> None:
         """Records prompt tokens that this or another entry has sent.
 
         For another entry, one record stands for all prompts that it has sent
         between two reports, at the time when the later report is received.
 
         Args:
-            service: Name of the service.
+            group: Name of the iteration group.
             tokens: Length of the prompt, or of all these prompts together.
             now_s: The present time.
         """
         if tokens <= 0:
             return
         prompts = self._prompts.setdefault(
-            service, collections.deque(maxlen=_MAX_PROMPT_RECORDS)
+            group, collections.deque(maxlen=_MAX_PROMPT_RECORDS)
         )
         prompts.append((now_s, tokens))
 
     def prompt_tokens_between(
-        self, service: str, from_s: float, until_s: float
+        self, group: str, from_s: float, until_s: float
     ) -> int:
         """Returns the prompt tokens recorded in a time interval.
 
         Args:
-            service: Name of the service.
+            group: Name of the iteration group.
             from_s: Start of the interval, exclusive.
             until_s: End of the interval, inclusive.
         """
         return sum(
             tokens
-            for at_s, tokens in self._prompts.get(service, ())
+            for at_s, tokens in self._prompts.get(group, ())
             if from_s < at_s <= until_s
         )
 
--- a/tests/expert_group.py
+++ b/tests/expert_group.py
@@ -352,6 +352,9 @@
     def iteration_s(self, _service):
         return ITERATION_S
 
+    def group_iteration_ratio(self, _endpoint):
+        return self.iteration_ratio(None)
+
     def iteration_ratio(self, _service):
         return self.ratio
 
--- /dev/null
+++ b/tests/scheduling.py
@@ -0,0 +1,86 @@
+"""Builders of entries that schedule requests, for tests on a virtual clock."""
+
+import random
+
+from godwitdale_gateway import directory as directory_lib
+from godwitdale_gateway import iteration_groups
+from godwitdale_gateway import scheduler
+from godwitdale_http import pool
+from godwitdale_observe import logs
+from godwitdale_routing import choice
+from godwitdale_routing import peer_load
+from godwitdale_routing import routes
+from godwitdale_routing import wait_queue
+
+SERVICE = "llm"
+ENGINE = routes.Engine(
+    slots=4,
+    step_s=0.006,
+    step_per_request_s=0.0007,
+    prefill_tokens_per_s=61200.0,
+    steps_per_iteration=5,
+    expert_share=0.85,
+    mean_prompt_tokens=800.0,
+)
+
+
+class PendingRequest:
+    """A request that records its assignment or refusal."""
+
+    def __init__(self, clock, prompt_tokens=800):
+        now_s = clock.seconds()
+        params = wait_queue.SchedulingParams(0, now_s + 0.4, now_s + 2.0)
+        traits = choice.RequestTraits(prompt_tokens=prompt_tokens)
+        self.placement = scheduler.PlacementRequest(SERVICE, params, traits)
+        self.tried_endpoints = set()
+        self.record = None
+        self.refusal = None
+
+    def on_assigned(self, record):
+        self.record = record
+
+    def on_refused(self, refusal):
+        self.refusal = refusal
+
+
+class Entry:
+    """One entry with its scheduler and its directory of endpoints."""
+
+    def __init__(self, clock, endpoints=2):
+        self.clock = clock
+        self.connected = set()
+        self.directory = directory_lib.Directory(lambda _: None)
+        for number in range(endpoints):
+            self.put_endpoint(f"e{number}")
+        self.peer_loads = peer_load.PeerLoads()
+        rng = random.Random(1)
+        self.members = iteration_groups.GroupMembers()
+        self.scheduler = scheduler.Scheduler(
+            self.directory,
+            self.members,
+            self.peer_loads,
+            choice.LeastLoaded(rng),
+            self.connected.__contains__,
+            clock,
+            rng,
+            logs.EventLog(),
+            lambda: None,
+        )
+
+    def put_endpoint(self, name, is_draining=False):
+        address = pool.Address("127.0.0.1", 1)
+        endpoint = directory_lib.Endpoint(
+            name, SERVICE, address, "z", 4, is_draining
+        )
+        self.directory.put(endpoint, self.clock.seconds())
+
+    def endpoint(self, name):
+        return self.directory.get(name).endpoint
+
+    def observe_gap(self, name, gap_s, objective_s):
+        self.scheduler.observe_gap(self.endpoint(name), gap_s, objective_s)
+
+    def submit(self, prompt_tokens=800):
+        request = PendingRequest(self.clock, prompt_tokens)
+        self.scheduler.submit(request)
+        return request
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -4,6 +4,7 @@
 from twisted.internet import task
 
 from godwitdale_experts import map_change
+from godwitdale_gateway import iteration_groups
 from godwitdale_gateway import peers
 from godwitdale_http import pool
 from godwitdale_observe import logs
@@ -50,6 +51,7 @@
         self.confirmations = []
         self.settled = []
         self.peer_loads = peer_load.PeerLoads()
+        self.members = iteration_groups.GroupMembers()
         self.network = network
         self.peers = peers.Peers(
             name,
@@ -57,8 +59,9 @@
             lambda: self.load,
             self,
             self,
+            self.members,
             lambda: None,
-            self.settled.append,
+            lambda service, _ranks: self.settled.append(service),
             network.clock,
             logs.EventLog(),
         )
@@ -269,3 +272,21 @@
     network.run(1)
     assert second.peers.announced_changes() == []
     assert second.peers.is_oldest
+
+
+def test_entry_learns_groups_from_the_oldest_entry(network):
+    oldest, younger = Entry(network, "a"), Entry(network, "b")
+    younger.peers.add_addresses({pool.Address("a", 7)})
+    network.run(1.0)
+    groups = {
+        f"e{number}": iteration_groups.Membership("g0", 50)
+        for number in range(50)
+    }
+    oldest.members.update(groups)
+    younger.peers.query_members([*groups, "unknown"])
+    network.run(1.0)
+    assert all(younger.members.get(each) == groups[each] for each in groups)
+    assert younger.members.get("unknown") is None
+    assert all(
+        len(data) <= peers.MAX_DATAGRAM_BYTES for _, _, data in network.sent
+    )
--- a/tests/unit/test_scheduler.py
+++ b/tests/unit/test_scheduler.py
@@ -1,86 +1,15 @@
 """Tests of scheduling by entries that share endpoints on a virtual clock."""
 
 import dataclasses
-import random
 
 import pytest
+import scheduling
 from twisted.internet import task
 
-from godwitdale_gateway import directory as directory_lib
-from godwitdale_gateway import scheduler
-from godwitdale_http import pool
-from godwitdale_observe import logs
-from godwitdale_routing import choice
 from godwitdale_routing import peer_load
-from godwitdale_routing import routes
 from godwitdale_routing import wait_queue
 from godwitdale_verdicts import outcomes
 
-SERVICE = "llm"
-ENGINE = routes.Engine(
-    slots=4,
-    step_s=0.006,
-    step_per_request_s=0.0007,
-    prefill_tokens_per_s=61200.0,
-    steps_per_iteration=5,
-    expert_share=0.85,
-    mean_prompt_tokens=800.0,
-)
-
-
-class PendingRequest:
-    """A request that records its assignment or refusal."""
-
-    def __init__(self, clock, prompt_tokens=800):
-        now_s = clock.seconds()
-        params = wait_queue.SchedulingParams(0, now_s + 0.4, now_s + 2.0)
-        traits = choice.RequestTraits(prompt_tokens=prompt_tokens)
-        self.placement = scheduler.PlacementRequest(SERVICE, params, traits)
-        self.tried_endpoints = set()
-        self.record = None
-        self.refusal = None
-
-    def on_assigned(self, record):
-        self.record = record
-
-    def on_refused(self, refusal):
-        self.refusal = refusal
-
-
-class Entry:
-    """One entry with its scheduler and its directory of endpoints."""
-
-    def __init__(self, clock, endpoints=2):
-        self.clock = clock
-        self.connected = set()
-        self.directory = directory_lib.Directory(lambda _: None)
-        for number in range(endpoints):
-            self.put_endpoint(f"e{number}")
-        self.peer_loads = peer_load.PeerLoads()
-        rng = random.Random(1)
-        self.scheduler = scheduler.Scheduler(
-            self.directory,
-            self.peer_loads,
-            choice.LeastLoaded(rng),
-            self.connected.__contains__,
-            clock,
-            rng,
-            logs.EventLog(),
-            lambda: None,
-        )
-
-    def put_endpoint(self, name, is_draining=False):
-        address = pool.Address("127.0.0.1", 1)
-        endpoint = directory_lib.Endpoint(
-            name, SERVICE, address, "z", 4, is_draining
-        )
-        self.directory.put(endpoint, self.clock.seconds())
-
-    def submit(self, prompt_tokens=800):
-        request = PendingRequest(self.clock, prompt_tokens)
-        self.scheduler.submit(request)
-        return request
-
 
 @pytest.fixture
 def clock():
@@ -88,13 +17,13 @@
 
 
 def test_requests_spread_over_the_endpoints(clock):
-    entry = Entry(clock)
+    entry = scheduling.Entry(clock)
     names = [entry.submit().record.endpoint.id for _ in range(8)]
     assert names.count("e0") == names.count("e1") == 4
 
 
 def test_requests_in_flight_from_other_entries_count(clock):
-    entry = Entry(clock)
+    entry = scheduling.Entry(clock)
     entry.peer_loads.update(
         "peer", peer_load.PeerLoad(1, {"e0": 4}, {}, {}), 0.0
     )
@@ -103,9 +32,9 @@
 
 
 def test_request_to_a_full_service_waits_for_the_next_free_slot(clock):
-    entry = Entry(clock)
+    entry = scheduling.Entry(clock)
     running = [entry.submit() for _ in range(8)]
-    entry.scheduler.service_times(SERVICE).total_s = 0.4
+    entry.scheduler.service_times(scheduling.SERVICE).total_s = 0.4
     queued = entry.submit()
     assert queued.record is None and queued.refusal is None
     entry.scheduler.release(running[0].record)
@@ -113,10 +42,10 @@
 
 
 def test_request_that_cannot_start_in_time_is_refused_at_once(clock):
-    entry = Entry(clock)
+    entry = scheduling.Entry(clock)
     for _ in range(8):
         entry.submit()
-    entry.scheduler.service_times(SERVICE).total_s = 8.0
+    entry.scheduler.service_times(scheduling.SERVICE).total_s = 8.0
     refusal = entry.submit().refusal
     assert refusal.reason is outcomes.Reason.OVERLOADED
     assert refusal.retry_after_s > 0
@@ -128,15 +57,15 @@
     An entry that had seen no answer end expected permits to become free twice
     as often as they did.
     """
-    entry = Entry(clock, endpoints=12)
-    engine = dataclasses.replace(ENGINE, mean_answer_tokens=139.0)
-    entry.scheduler.configure({SERVICE: engine})
+    entry = scheduling.Entry(clock, endpoints=12)
+    engine = dataclasses.replace(scheduling.ENGINE, mean_answer_tokens=139.0)
+    entry.scheduler.configure({scheduling.SERVICE: engine})
     for number in range(1, 30):
         load = peer_load.PeerLoad(number, {"e0": 3}, {}, {})
         entry.peer_loads.update("peer", load, clock.seconds())
         clock.advance(0.1)
-        entry.scheduler.observe_gap(SERVICE, 0.1, 0.12)
-    total_s = entry.scheduler.service_times(SERVICE).total_s
+        entry.observe_gap("e0", 0.1, 0.12)
+    total_s = entry.scheduler.service_times(scheduling.SERVICE).total_s
     assert 28 * 0.1 <= total_s <= 31 * 0.1
 
 
@@ -145,25 +74,26 @@
 
     Callers of such a group should retry only once.
     """
-    entry = Entry(clock)
+    entry = scheduling.Entry(clock)
     delays_s = [
-        entry.scheduler.retry_after_refusal_s(SERVICE, 8.0) for _ in range(8)
+        entry.scheduler.retry_after_refusal_s(scheduling.SERVICE, 8.0)
+        for _ in range(8)
     ]
     assert delays_s[0] < 0.7
     assert max(delays_s) > 1.0
     assert max(delays_s) <= 8.0 / 3
-    entry.scheduler.observe_first(SERVICE, 0.2)
-    assert entry.scheduler.retry_after_refusal_s(SERVICE, 8.0) < 0.7
+    entry.scheduler.observe_first(entry.endpoint("e0"), 0.2)
+    assert entry.scheduler.retry_after_refusal_s(scheduling.SERVICE, 8.0) < 0.7
 
 
 def test_free_slot_is_left_to_a_more_urgent_request_of_another_entry(clock):
-    entry = Entry(clock)
+    entry = scheduling.Entry(clock)
     running = [entry.submit() for _ in range(8)]
-    entry.scheduler.service_times(SERVICE).total_s = 0.4
+    entry.scheduler.service_times(scheduling.SERVICE).total_s = 0.4
     clock.advance(0.05)
     own = entry.submit()
     urgent = wait_queue.Urgency(False, 0, clock.seconds())
-    load = peer_load.PeerLoad(1, {}, {SERVICE: (urgent,)}, {})
+    load = peer_load.PeerLoad(1, {}, {scheduling.SERVICE: (urgent,)}, {})
     entry.peer_loads.update("peer", load, clock.seconds())
     entry.scheduler.release(running[0].record)
     assert own.record is None
@@ -179,18 +109,20 @@
     The prompt tokens that other entries send must not add up without limit,
     or the entry would find no free permit any more.
     """
-    entry = Entry(clock, endpoints=12)
-    entry.scheduler.configure({SERVICE: ENGINE})
-    entry.scheduler.observe_gap(SERVICE, 0.05, 0.12)
+    entry = scheduling.Entry(clock, endpoints=12)
+    entry.scheduler.configure({scheduling.SERVICE: scheduling.ENGINE})
+    entry.observe_gap("e0", 0.05, 0.12)
     for number in range(1, 200):
         clock.advance(0.05)
-        load = peer_load.PeerLoad(number, {}, {}, {SERVICE: 900 * number})
+        load = peer_load.PeerLoad(
+            number, {}, {}, {scheduling.SERVICE: 900 * number}
+        )
         entry.peer_loads.update("peer", load, clock.seconds())
     assert entry.submit().record is not None
 
 
 def test_idle_connection_only_breaks_ties(clock):
-    entry = Entry(clock, endpoints=6)
+    entry = scheduling.Entry(clock, endpoints=6)
     entry.connected.add("e3")
     assert entry.submit().record.endpoint.id == "e3"
     assert entry.submit().record.endpoint.id != "e3"
@@ -201,15 +133,15 @@
     clock, tokens, is_refused
 ):
     """With a slow rank an iteration takes 0.6 s; callers leave after 8 s."""
-    entry = Entry(clock)
-    entry.scheduler.configure({SERVICE: ENGINE})
+    entry = scheduling.Entry(clock)
+    entry.scheduler.configure({scheduling.SERVICE: scheduling.ENGINE})
     for _ in range(200):
         entry.peer_loads.update(
             "peer", peer_load.PeerLoad(1, {"e0": 3}, {}, {}), 0.0
         )
         clock.advance(0.6)
-        entry.scheduler.observe_gap(SERVICE, 0.6, 0.12)
-    request = PendingRequest(clock)
+        entry.observe_gap("e0", 0.6, 0.12)
+    request = scheduling.PendingRequest(clock)
     request.placement = dataclasses.replace(
         request.placement,
         expected_answer_tokens=tokens,
@@ -220,19 +152,19 @@
 
 
 def test_draining_endpoint_gets_no_requests(clock):
-    entry = Entry(clock)
+    entry = scheduling.Entry(clock)
     entry.put_endpoint("e0", is_draining=True)
     names = {entry.submit().record.endpoint.id for _ in range(4)}
     assert names == {"e1"}
 
 
 def test_request_to_a_service_without_endpoints_is_refused(clock):
-    entry = Entry(clock, endpoints=0)
+    entry = scheduling.Entry(clock, endpoints=0)
     assert entry.submit().refusal.reason is outcomes.Reason.NO_ENDPOINT
 
 
 def test_lapsed_endpoint_is_used_only_while_no_other_is_listed(clock):
-    entry = Entry(clock)
+    entry = scheduling.Entry(clock)
     entry.directory.mark_lapsed("e0", clock.seconds())
     assert {entry.submit().record.endpoint.id for _ in range(3)} == {"e1"}
     entry.directory.remove("e1")
