Balance the groups of a service at the same time

Callers got late streams because maps followed the demand too slowly: the owner changed one group after the other, and a change takes two seconds.

Change: each group is balanced by a task of its own. Only the announced part of a change, in which the group is held, is made one at a time, because an entry announces one change; fencing tokens are taken one change at a time.

--- a/libs/gateway/src/godwitdale_gateway/expert_balancer.py
+++ b/libs/gateway/src/godwitdale_gateway/expert_balancer.py
@@ -19,7 +19,9 @@
 from typing import Any
 from typing import Protocol
 
+from twisted.internet import defer
 from twisted.internet import task
+from twisted.python import failure
 
 from godwitdale_experts import map_change
 from godwitdale_experts import replication
@@ -130,6 +132,9 @@
         self._layouts: dict[str, routes.ExpertLayout] = {}
         self._groups: dict[str, dict[str, groups.GroupState]] = {}
         self._refreshed_ids: dict[str, frozenset[str]] = {}
+        # Groups that are being balanced, by service and name.
+        self._tasks: dict[tuple[str, str], defer.Deferred[None]] = {}
+        self._task_failure: failure.Failure | None = None
         # Versions of changes for which another entry used a higher fencing
         # token, one item for each lost takeover.
         self._lost_versions: collections.deque[int] = collections.deque(
@@ -158,6 +163,8 @@
         """Balances experts until the balancer is stopped."""
         while not self._is_stopped:
             await task.deferLater(self._reactor, _BALANCE_INTERVAL_S)
+            if self._task_failure is not None:
+                self._task_failure.raiseException()
             if not self._is_owner():
                 # Another entry may change the maps in the meantime.
                 self._groups.clear()
@@ -227,12 +234,48 @@
                 service
             ) != self._endpoint_ids(service):
                 await self._refresh_groups(service, layout)
-            for group in list(self._groups.get(service, {}).values()):
-                if self._group_ratio(group) > _BUSY_ITERATION_RATIO:
-                    await self._balance_group(service, group, layout)
         except exceptions.PlatformUnavailableError as error:
-            self._refreshed_ids.pop(service, None)
-            self._log.info("experts_unread", service=service, detail=str(error))
+            self._on_unread(service, error)
+            return
+        for group in self._groups.get(service, {}).values():
+            if self._group_ratio(group) > _BUSY_ITERATION_RATIO:
+                self._start_task(service, group, layout)
+
+    def _start_task(
+        self,
+        service: str,
+        group: groups.GroupState,
+        layout: routes.ExpertLayout,
+    ) -> None:
+        """Starts to balance a group, unless that is still in progress.
+
+        A change takes seconds. Groups do not wait for each other, because the
+        experts in demand change within that time.
+        """
+        key = (service, group.status.name)
+        if key in self._tasks:
+            return
+        balancing = defer.ensureDeferred(
+            self._balance_group(service, group, layout)
+        )
+        self._tasks[key] = balancing
+        balancing.addBoth(self._on_task_end, key)
+
+    def _on_task_end(self, result: Any, key: tuple[str, str]) -> None:
+        self._tasks.pop(key, None)
+        if not isinstance(result, failure.Failure):
+            return
+        error = result.value
+        if isinstance(error, exceptions.PlatformUnavailableError):
+            self._on_unread(key[0], error)
+        else:
+            self._task_failure = result
+
+    def _on_unread(
+        self, service: str, error: exceptions.PlatformUnavailableError
+    ) -> None:
+        self._refreshed_ids.pop(service, None)
+        self._log.info("experts_unread", service=service, detail=str(error))
 
     def _group_ratio(self, group: groups.GroupState) -> float:
         return self._load.group_iteration_ratio(group.sampled_endpoint)
--- a/libs/gateway/src/godwitdale_gateway/map_changer.py
+++ b/libs/gateway/src/godwitdale_gateway/map_changer.py
@@ -117,6 +117,9 @@
         self._reactor = reactor
         self._log = log
         self._unused_fencing_tokens = range(0)
+        # An entry announces one change at a time.
+        self._announcement_lock = defer.DeferredLock()
+        self._token_lock = defer.DeferredLock()
 
     async def change(
         self,
@@ -157,15 +160,19 @@
                 change.abort()
                 break
             ahead_s = layout.report_lag_s + lead_s
-            step = await self._choose_step(group, iteration_s, ahead_s)
-            change.on_copied(step + postponements * _POSTPONED_ITERATIONS)
-            self._peers.announce(
-                peers_lib.MapChangeNotice(service, change.plan())
-            )
-            await self._send_commands(
-                change, group.status.members, new_map, _ARM_TIMEOUT_S
-            )
-            self._peers.announce(None)
+            await self._announcement_lock.acquire()
+            try:
+                step = await self._choose_step(group, iteration_s, ahead_s)
+                change.on_copied(step + postponements * _POSTPONED_ITERATIONS)
+                self._peers.announce(
+                    peers_lib.MapChangeNotice(service, change.plan())
+                )
+                await self._send_commands(
+                    change, group.status.members, new_map, _ARM_TIMEOUT_S
+                )
+                self._peers.announce(None)
+            finally:
+                self._announcement_lock.release()
             postponements += 1
         self._log_outcome("experts_change", service, change)
         if change.phase is map_change.Phase.LOST:
@@ -238,6 +245,13 @@
 
     async def _take_fencing_tokens(self) -> int:
         """Reserves fencing tokens for a change; returns the first of them."""
+        await self._token_lock.acquire()
+        try:
+            return await self._take_tokens()
+        finally:
+            self._token_lock.release()
+
+    async def _take_tokens(self) -> int:
         token_count = map_change.FENCING_TOKENS_PER_CHANGE
         if len(self._unused_fencing_tokens) < token_count:
             generation = await self._ownership.acquire_ownership(self._name)
