Send changes of the load instead of the whole load

Cause: an entry sends its whole load, some 700 bytes with twenty busy endpoints, to 23 entries, and may use 20 kB a second. Its load was therefore a second old at its peers, which assigned slots that were taken. On a site with twelve endpoints and ten entries the same message is sent often enough.

Change: between two heartbeats only the endpoints and groups that changed are sent, in some 90 bytes. They are absolute counts, so that a lost message is repaired by the next whole load. A whole load is still sent at once if the state of the entry or its read positions change.

The first test failed before: the peers did not have the counts after 0.1 s.

--- a/libs/gateway/src/godwitdale_gateway/peers.py
+++ b/libs/gateway/src/godwitdale_gateway/peers.py
@@ -108,6 +108,26 @@
     harmless_parts: list[str] = []
 
 
+class LoadChanges(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Changes of the load of one entry since its previous message.
+
+    Attributes:
+        sender: Name of the sender's incarnation.
+        sequence: Message number; shared with ``LoadMessage``.
+        in_flight: Number of requests in flight at the endpoints for which it
+            has changed.
+        queue_heads: All queue heads, as in ``LoadMessage``.
+        sent_prompt_tokens: Prompt tokens sent to the iteration groups for which
+            they have changed.
+    """
+
+    sender: str
+    sequence: int
+    in_flight: dict[str, int]
+    queue_heads: dict[str, list[tuple[bool, int, int]]]
+    sent_prompt_tokens: dict[str, int]
+
+
 class FreshnessQuery(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """Asks another entry how fresh its copy of a topic is.
 
@@ -157,7 +177,12 @@
 
 
 Message = (
-    LoadMessage | FreshnessQuery | FreshnessReply | MemberQuery | MemberReply
+    LoadMessage
+    | LoadChanges
+    | FreshnessQuery
+    | FreshnessReply
+    | MemberQuery
+    | MemberReply
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -290,7 +315,11 @@
             maxlen=_MAX_ENDED_CHANGES
         )
         self._timer: Any = None
-        self._last_broadcast_s = 0.0
+        self._last_whole_load_s = 0.0
+        # Load and positions in the last message.
+        self._sent_load = _NO_LOAD
+        self._sent_positions: dict[str, int] = {}
+        self._whole_load_is_due = True
         self._budget_spent_until_s = 0.0
 
     def add_addresses(self, addresses: set[pool_lib.Address]) -> None:
@@ -303,7 +332,7 @@
         self._has_addresses = True
         for address in addresses:
             self._introductions_left.setdefault(address, _MAX_INTRODUCTIONS)
-        self.schedule_broadcast()
+        self._schedule_whole_load()
 
     def schedule_broadcast(self) -> None:
         """Schedules a broadcast of the load when the bandwidth allows it."""
@@ -311,7 +340,11 @@
             return
         now_s = self._reactor.seconds()
         delay_s = max(_BROADCAST_DELAY_S, self._budget_spent_until_s - now_s)
-        self._timer = self._reactor.callLater(delay_s, self.broadcast)
+        self._timer = self._reactor.callLater(delay_s, self._on_timer)
+
+    def _schedule_whole_load(self) -> None:
+        self._whole_load_is_due = True
+        self.schedule_broadcast()
 
     @property
     def index(self) -> int:
@@ -384,8 +417,8 @@
     def tick(self) -> None:
         """Schedules a heartbeat if one is due and removes silent entries."""
         now_s = self._reactor.seconds()
-        if now_s - self._last_broadcast_s >= _HEARTBEAT_S:
-            self.schedule_broadcast()
+        if now_s - self._last_whole_load_s >= _HEARTBEAT_S:
+            self._schedule_whole_load()
         for address, each in list(self._peers.items()):
             if now_s - each.received_s > peer_load.PEER_TIMEOUT_S:
                 del self._peers[address]
@@ -395,7 +428,7 @@
     def announce_drain(self) -> None:
         """Marks this entry as draining and schedules a broadcast of that."""
         self._is_draining = True
-        self.schedule_broadcast()
+        self._schedule_whole_load()
 
     def announce_stop(self) -> None:
         """Broadcasts at once that this entry stops."""
@@ -414,6 +447,8 @@
         address = pool_lib.Address(addr[0], addr[1])
         if isinstance(message, LoadMessage):
             self._on_load(address, message)
+        elif isinstance(message, LoadChanges):
+            self._on_load_changes(message)
         elif isinstance(message, FreshnessQuery):
             self._on_freshness_query(address, message)
         elif isinstance(message, FreshnessReply):
@@ -544,6 +579,12 @@
         ):
             self._on_change()
 
+    def _on_load_changes(self, message: LoadChanges) -> None:
+        now_s = self._reactor.seconds()
+        load = _decode_load(message, now_s)
+        if self._peer_loads.update_changes(message.sender, load, now_s):
+            self._on_change()
+
     def connectionRefused(self) -> None:  # noqa: N802
         """Ignores that no process listens on one of the addresses."""
 
@@ -567,7 +608,7 @@
             change,
         )
         if known is None:
-            self.schedule_broadcast()
+            self._schedule_whole_load()
             return
         is_same_incarnation = known.name == message.sender
         announced = known.change
@@ -587,23 +628,59 @@
             return  # The process is stopping.
         self._send_load(self._own_load(), is_final=False)
 
+    def _on_timer(self) -> None:
+        """Broadcasts the whole load if that is due, otherwise its changes."""
+        positions = self._copies.positions()
+        if self._whole_load_is_due or positions != self._sent_positions:
+            self.broadcast()
+            return
+        self._timer = None
+        if self.transport is not None:
+            self._send_changes(self._own_load())
+
+    def _send_changes(self, load: OwnLoad) -> None:
+        sent = self._sent_load
+        # An endpoint without requests is missing in the load.
+        in_flight = {
+            each: load.in_flight.get(each, 0)
+            for each in sent.in_flight | load.in_flight
+            if load.in_flight.get(each, 0) != sent.in_flight.get(each, 0)
+        }
+        tokens = {
+            group: count
+            for group, count in load.sent_prompt_tokens.items()
+            if count != sent.sent_prompt_tokens.get(group)
+        }
+        if not (in_flight or tokens or load.queue_heads or sent.queue_heads):
+            return
+        self._sequence += 1
+        message = LoadChanges(
+            self._name,
+            self._sequence,
+            in_flight,
+            _encode_queue_heads(load.queue_heads, self._reactor.seconds()),
+            tokens,
+        )
+        data = _encoder.encode(message)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            self._send_load(load, is_final=False)
+            return
+        self._sent_load = load
+        self._broadcast_data(data, list(self._peers))
+
     def _send_load(self, load: OwnLoad, is_final: bool) -> None:
         now_s = self._reactor.seconds()
         self._sequence += 1
-        self._last_broadcast_s = now_s
-        queue_heads = {
-            service: [
-                (each.is_late, each.priority, int((each.due_s - now_s) * 1000))
-                for each in urgencies
-            ]
-            for service, urgencies in load.queue_heads.items()
-        }
+        self._last_whole_load_s = now_s
+        self._whole_load_is_due = False
+        self._sent_load = load
+        self._sent_positions = dict(self._copies.positions())
         crashes, harmless_parts = self._part_reports.reports()
         message = LoadMessage(
             self._name,
             self._sequence,
             load.in_flight,
-            queue_heads,
+            _encode_queue_heads(load.queue_heads, now_s),
             {
                 topic: (position, _age_ms(self._copies.age_s(topic)))
                 for topic, position in self._copies.positions().items()
@@ -615,8 +692,13 @@
             crashes,
             harmless_parts,
         )
-        data = self._encode_load(message)
-        targets = self._targets()
+        self._broadcast_data(self._encode_load(message), self._targets())
+
+    def _broadcast_data(
+        self, data: bytes, targets: list[pool_lib.Address]
+    ) -> None:
+        """Sends a message to other entries and charges the bandwidth."""
+        now_s = self._reactor.seconds()
         spent_s = len(data) * len(targets) / _BROADCAST_BYTES_PER_S
         budget_start_s = max(
             self._budget_spent_until_s, now_s - _BROADCAST_BURST_S
@@ -674,7 +756,21 @@
     return min(_MAX_AGE_MS, int(min(age_s, _MAX_AGE_S) * 1000) + 1)
 
 
-def _decode_load(message: LoadMessage, now_s: float) -> peer_load.PeerLoad:
+def _encode_queue_heads(
+    queue_heads: dict[str, list[wait_queue.Urgency]], now_s: float
+) -> dict[str, list[tuple[bool, int, int]]]:
+    return {
+        service: [
+            (each.is_late, each.priority, int((each.due_s - now_s) * 1000))
+            for each in urgencies
+        ]
+        for service, urgencies in queue_heads.items()
+    }
+
+
+def _decode_load(
+    message: LoadMessage | LoadChanges, now_s: float
+) -> peer_load.PeerLoad:
     queue_heads = {
         service: tuple(
             wait_queue.Urgency(is_late, priority, now_s + due_ms / 1000)
--- a/libs/routing/src/godwitdale_routing/peer_load.py
+++ b/libs/routing/src/godwitdale_routing/peer_load.py
@@ -82,6 +82,35 @@
         self._update_totals()
         return True
 
+    def update_changes(
+        self, peer: str, changes: PeerLoad, now_s: float
+    ) -> bool:
+        """Applies the changes of a load since the load that was sent before.
+
+        Changes are ignored until the whole load of the peer is known. A lost
+        message makes the load wrong until the whole load is received again.
+
+        Args:
+            peer: Name of one incarnation of an entry.
+            changes: Its load with only the endpoints and iteration groups that
+                have changed, and with all queue heads.
+            now_s: The present time.
+
+        Returns:
+            Whether the in-flight counts or the queue heads have changed.
+        """
+        previous = self._loads.get(peer)
+        if previous is None:
+            return False
+        in_flight = {**previous.in_flight, **changes.in_flight}
+        load = PeerLoad(
+            changes.sequence,
+            {each: count for each, count in in_flight.items() if count},
+            changes.queue_heads,
+            {**previous.sent_prompt_tokens, **changes.sent_prompt_tokens},
+        )
+        return self.update(peer, load, now_s)
+
     def record_prompt(self, group: str, tokens: int, now_s: float) -> None:
         """Records prompt tokens that this or another entry has sent.
 
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -290,3 +290,45 @@
     assert all(
         len(data) <= peers.MAX_DATAGRAM_BYTES for _, _, data in network.sent
     )
+
+
+def test_entry_with_many_peers_reports_each_change_within_a_tenth(network):
+    """Guards against endpoints that are assigned more than they can run.
+
+    The whole load of an entry with many endpoints exhausted the bandwidth.
+    Its peers learned of its requests a second later.
+    """
+    entry = Entry(network, "a")
+    others = [Entry(network, f"b{number}") for number in range(23)]
+    entry.peers.add_addresses({pool.Address(*each.address) for each in others})
+    counts = {f"i-{number:010d}": 1 for number in range(30)}
+    tokens = {"llm/g0": 0}
+    network.run(3.0)
+    for step in range(100):
+        counts[f"i-{step % 30:010d}"] = step % 5
+        tokens["llm/g0"] += 800
+        entry.load = peers.OwnLoad(
+            {name: count for name, count in counts.items() if count},
+            {},
+            dict(tokens),
+        )
+        entry.peers.schedule_broadcast()
+        network.run(0.1, step_s=0.02)
+        loads = others[0].peer_loads
+        assert all(
+            loads.in_flight(name) == count for name, count in counts.items()
+        )
+
+
+def test_lost_change_is_repaired_by_the_next_whole_load(network):
+    first, second = Entry(network, "a"), Entry(network, "b")
+    first.peers.add_addresses({pool.Address("b", 7)})
+    network.run(3.0)
+    network.is_down = True
+    first.load = peers.OwnLoad({"e0": 3}, {}, {})
+    first.peers.schedule_broadcast()
+    network.run(0.1, step_s=0.02)
+    network.is_down = False
+    assert second.peer_loads.in_flight("e0") == 0
+    network.run(2.0)
+    assert second.peer_loads.in_flight("e0") == 3
