Keep to the rate limits that endpoints name in their answers

Cause: nothing read the header, and nothing counted the requests of all entries to one endpoint.

Change: the adapter decodes the header; a value that is no positive number is ignored. routing.rate_limits decides: the newest answer counts, a limit holds until an answer of a request that was run names another one or none, and requests of all entries are charged from their assignment on, repeated and waiting ones included. gateway.limit_sharing tells the other entries limits and counts within milliseconds and repeats them every second, so that entries that have just started know them. The wait queue counts an endpoint with the requests that its limit lets run, so that requests that cannot be served in time are refused at once, and waiting ones start when a limit allows the next request. A very low limit still admits one request in four seconds, which can notice its end.

Ruled out: a part of the limit for each entry. Callers come unevenly, so that most of a limit of one request a second would stay unused at 18 entries.

--- a/libs/gateway/src/godwitdale_gateway/dialect.py
+++ b/libs/gateway/src/godwitdale_gateway/dialect.py
@@ -56,6 +56,21 @@
     last_event_id: int | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimitHeader:
+    """What an answer states about the rate limit of its endpoint.
+
+    Attributes:
+        is_stated: Whether the answer names a limit, readable or not.
+        requests_per_s: Requests per second that the endpoint takes from all
+            entries together, or None if none is named or the value is not a
+            positive number.
+    """
+
+    is_stated: bool
+    requests_per_s: float | None
+
+
 class AnswerKind(enum.Enum):
     """Outcome of a request according to the head of the answer."""
 
@@ -101,5 +116,8 @@
     ) -> AnswerKind:
         """Classifies an answer by its status and headers."""
 
+    def rate_limit(self, headers: headers_lib.Headers) -> RateLimitHeader:
+        """Returns what an answer states about the limit of its endpoint."""
+
     def refusal_headers(self, request_id: bytes) -> headers_lib.Headers:
         """Returns the headers that every refusal by the gateway carries."""
--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -12,6 +12,7 @@
 from godwitdale_gateway import dialect as dialect_lib
 from godwitdale_gateway import directory as directory_lib
 from godwitdale_gateway import event_stream
+from godwitdale_gateway import limit_sharing as limit_sharing_lib
 from godwitdale_gateway import part_guard as part_guard_lib
 from godwitdale_gateway import refusals
 from godwitdale_gateway import scheduler as scheduler_lib
@@ -87,6 +88,7 @@
         scheduler: Assigns requests to endpoints.
         budgets: Retry budgets by service.
         part_guard: Refuses requests that may crash endpoints.
+        limit_sharing: Takes the rate limits that endpoints name.
         buffer_usage: Counts the bytes of buffered answers.
         zone: Availability zone of this process.
         log: The event log.
@@ -100,6 +102,7 @@
     scheduler: scheduler_lib.Scheduler
     budgets: retries.BudgetsByService
     part_guard: part_guard_lib.PartGuard
+    limit_sharing: limit_sharing_lib.LimitSharing
     buffer_usage: answer_buffer.BufferUsage
     zone: str
     log: logs.EventLog
@@ -312,11 +315,34 @@
         self._headers = headers
         self._answer_kind = self._context.dialect.answer_kind(status, headers)
         self._is_streaming = self._is_event_stream(headers)
-        if (
-            self._endpoint_record is not None
-            and not self._is_refused_by_endpoint()
+        record = self._endpoint_record
+        if record is None:
+            return
+        if not self._is_refused_by_endpoint():
+            record.stats.health.record_success()
+        self._record_rate_limit(record.endpoint.id, headers)
+
+    def _record_rate_limit(
+        self, endpoint_id: str, headers: headers_lib.Headers
+    ) -> None:
+        """Records the rate limit that an answer of an endpoint names.
+
+        An answer without a limit ends the limit only if the endpoint has run
+        the request; refusals may leave it out.
+        """
+        kind = self._answer_kind
+        limit = self._context.dialect.rate_limit(headers)
+        if kind in (
+            dialect_lib.AnswerKind.FOREIGN,
+            dialect_lib.AnswerKind.MISDIRECTED,
         ):
-            self._endpoint_record.stats.health.record_success()
+            return
+        if limit.requests_per_s is not None:
+            self._context.limit_sharing.on_stated(
+                endpoint_id, limit.requests_per_s
+            )
+        elif not limit.is_stated and self._is_forwarded_answer():
+            self._context.limit_sharing.on_not_stated(endpoint_id)
 
     def on_answer_data(self, data: bytes) -> None:
         """Handles a part of the body."""
--- a/libs/gateway/src/godwitdale_gateway/gateway.py
+++ b/libs/gateway/src/godwitdale_gateway/gateway.py
@@ -20,6 +20,7 @@
 from godwitdale_gateway import forwarding
 from godwitdale_gateway import groups
 from godwitdale_gateway import iteration_groups
+from godwitdale_gateway import limit_sharing
 from godwitdale_gateway import map_changer
 from godwitdale_gateway import member_reader
 from godwitdale_gateway import part_guard
@@ -144,9 +145,17 @@
         self._endpoints.follower = self._followers[1]
         self._peer_loads = peer_load.PeerLoads()
         members = iteration_groups.GroupMembers()
+        self._limit_sharing = limit_sharing.LimitSharing(
+            self._directory,
+            lambda endpoint_ids: self._peers.report_limits(endpoint_ids),
+            lambda service: self._scheduler.assign_waiting(service),
+            reactor,
+            self._log,
+        )
         self._scheduler = scheduler_lib.Scheduler(
             self._directory,
             members,
+            self._limit_sharing,
             self._peer_loads,
             choice.LeastLoaded(self._rng),
             self._pool.has_idle,
@@ -171,6 +180,7 @@
             ),
             self._part_guard,
             members,
+            self._limit_sharing,
             self._scheduler.assign_all_waiting,
             self._scheduler.on_map_change,
             reactor,
@@ -219,6 +229,7 @@
             scheduler=self._scheduler,
             budgets=self._budgets,
             part_guard=self._part_guard,
+            limit_sharing=self._limit_sharing,
             buffer_usage=answer_buffer.BufferUsage(),
             zone=settings.zone,
             log=self._log,
@@ -402,6 +413,7 @@
         self._directory.expire(self._reactor.seconds())
         self._pool.close_expired()
         self._peers.tick()
+        self._limit_sharing.tick()
         self._scheduler.assign_all_waiting()
         self._scheduler.log_load()
 
--- a/libs/gateway/src/godwitdale_gateway/iteration_groups.py
+++ b/libs/gateway/src/godwitdale_gateway/iteration_groups.py
@@ -13,6 +13,7 @@
 from godwitdale_gateway import directory as directory_lib
 from godwitdale_routing import concurrency as concurrency_lib
 from godwitdale_routing import peer_load
+from godwitdale_routing import rate_limits as rate_limits_lib
 from godwitdale_routing import routes
 
 # Events of two streams belong to the same iteration if they arrive closer
@@ -215,7 +216,9 @@
     Attributes:
         name: Name of the iteration group.
         slots: Requests that its endpoints can run at once.
-        free_slots: Slots that are not taken.
+        free_slots: Slots that a request may take now.
+        usable_slots: Slots that are taken if each endpoint gets as many
+            requests as its rate limit allows.
         in_flight: Requests of all entries at its endpoints.
         own_in_flight: Those of them that this entry has sent.
         size: Number of ranks of the group, or number of the endpoints if they
@@ -225,6 +228,7 @@
     name: str
     slots: int = 0
     free_slots: int = 0
+    usable_slots: float = 0.0
     in_flight: int = 0
     own_in_flight: int = 0
     size: int = 0
@@ -234,6 +238,9 @@
     records: Iterable[directory_lib.EndpointRecord],
     members: GroupMembers,
     peer_loads: peer_load.PeerLoads,
+    rate_limits: rate_limits_lib.RateLimits,
+    total_s: float,
+    now_s: float,
 ) -> dict[str, GroupLoad]:
     """Returns the load of the iteration groups of some endpoints, by name.
 
@@ -241,6 +248,9 @@
         records: The endpoints.
         members: Groups of the endpoints.
         peer_loads: Load reports of the other entries.
+        rate_limits: Rate limits of the endpoints.
+        total_s: Mean time of a request.
+        now_s: The current time.
     """
     loads: dict[str, GroupLoad] = {}
     for record in records:
@@ -252,7 +262,12 @@
         own = record.stats.in_flight
         in_flight = own + peer_loads.in_flight(endpoint.id)
         load.slots += endpoint.slots
-        load.free_slots += max(0, endpoint.slots - in_flight)
+        free_slots = max(0, endpoint.slots - in_flight)
+        room = rate_limits.room(endpoint.id, now_s)
+        load.free_slots += free_slots if room is None else min(free_slots, room)
+        load.usable_slots += rate_limits.concurrency(
+            endpoint.id, endpoint.slots, total_s
+        )
         load.in_flight += in_flight
         load.own_in_flight += own
         membership = members.get(endpoint.id)
--- a/libs/gateway/src/godwitdale_gateway/peers.py
+++ b/libs/gateway/src/godwitdale_gateway/peers.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
 from typing import Any
@@ -16,6 +17,7 @@
 
 from godwitdale_experts import map_change
 from godwitdale_gateway import iteration_groups
+from godwitdale_gateway import limit_sharing
 from godwitdale_http import pool as pool_lib
 from godwitdale_observe import logs
 from godwitdale_routing import peer_load
@@ -128,6 +130,20 @@
     sent_prompt_tokens: dict[str, int]
 
 
+class LimitMessage(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Rate limits of endpoints, and requests that count against them.
+
+    Attributes:
+        sender: Name of the sender's incarnation.
+        sequence: Message number; shared with ``LoadMessage``.
+        limits: Limits by id of the endpoint.
+    """
+
+    sender: str
+    sequence: int
+    limits: dict[str, limit_sharing.LimitReport]
+
+
 class FreshnessQuery(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """Asks another entry how fresh its copy of a topic is.
 
@@ -179,6 +195,7 @@
 Message = (
     LoadMessage
     | LoadChanges
+    | LimitMessage
     | FreshnessQuery
     | FreshnessReply
     | MemberQuery
@@ -207,6 +224,23 @@
         """Takes another entry's statement of where a topic ended at a time."""
 
 
+class LimitReports(Protocol):
+    """What this entry knows of the rate limits of endpoints."""
+
+    def report(
+        self, endpoint_ids: Sequence[str]
+    ) -> dict[str, limit_sharing.LimitReport]:
+        """Returns the limits of some endpoints for the other entries."""
+
+    def on_report(
+        self, peer: str, reports: dict[str, limit_sharing.LimitReport]
+    ) -> None:
+        """Takes the limits that another entry reports."""
+
+    def on_peer_end(self, peer: str) -> None:
+        """Takes that an incarnation of another entry has ended."""
+
+
 class PartReports(Protocol):
     """What this entry knows of prompt parts that crash endpoints."""
 
@@ -249,6 +283,7 @@
             the milliseconds since this was certainly the end of the topic.
         is_draining: Whether the peer accepts no new connections.
         change: The map change that the peer has announced, or None.
+        limit_sequence: Number of its last message with rate limits.
     """
 
     name: str
@@ -256,6 +291,7 @@
     positions: dict[str, tuple[int, int]]
     is_draining: bool = False
     change: MapChangeNotice | None = None
+    limit_sequence: int = 0
 
 
 class Peers(protocol.DatagramProtocol):
@@ -271,6 +307,7 @@
         copies: TopicCopies,
         part_reports: PartReports,
         members: iteration_groups.GroupMembers,
+        limit_reports: LimitReports,
         on_change: Callable[[], None],
         on_map_change_end: Callable[[str, Sequence[str]], None],
         reactor: Any,
@@ -286,6 +323,7 @@
             copies: The copies of the store's topics that this entry keeps.
             part_reports: What this entry knows of parts that crash endpoints.
             members: Groups of the endpoints.
+            limit_reports: What this entry knows of rate limits.
             on_change: Called when the load of another entry has changed.
             on_map_change_end: Called with the name of a service and the ids of
                 the ranks of a group when the end of a change of the expert map
@@ -299,6 +337,9 @@
         self._copies = copies
         self._part_reports = part_reports
         self._members = members
+        self._limit_reports = limit_reports
+        # Endpoints whose rate limits are to be reported.
+        self._unreported_limits: set[str] = set()
         self._query_times_s: dict[int, float] = {}
         self._last_query_id = 0
         self._on_change = on_change
@@ -422,6 +463,7 @@
         for address, each in list(self._peers.items()):
             if now_s - each.received_s > peer_load.PEER_TIMEOUT_S:
                 del self._peers[address]
+                self._limit_reports.on_peer_end(each.name)
                 self._log.info("peer_silent", peer=each.name)
         self._peer_loads.remove_silent(now_s)
 
@@ -449,6 +491,8 @@
             self._on_load(address, message)
         elif isinstance(message, LoadChanges):
             self._on_load_changes(message)
+        elif isinstance(message, LimitMessage):
+            self._on_limits(address, message)
         elif isinstance(message, FreshnessQuery):
             self._on_freshness_query(address, message)
         elif isinstance(message, FreshnessReply):
@@ -561,6 +605,7 @@
         if message.is_final:
             self._peers.pop(address, None)
             self._peer_loads.remove(message.sender)
+            self._limit_reports.on_peer_end(message.sender)
             self._on_change()
             return
         self._update_peer(address, message, now_s)
@@ -585,6 +630,47 @@
         if self._peer_loads.update_changes(message.sender, load, now_s):
             self._on_change()
 
+    def report_limits(self, endpoint_ids: Iterable[str]) -> None:
+        """Reports rate limits of endpoints to the other entries soon.
+
+        The delay is short even if no bandwidth is left: requests that are not
+        known to the other entries are not counted against a limit.
+
+        Args:
+            endpoint_ids: Ids of the endpoints.
+        """
+        if not self._unreported_limits:
+            self._reactor.callLater(_BROADCAST_DELAY_S, self._send_limits)
+        self._unreported_limits.update(endpoint_ids)
+
+    def _send_limits(self) -> None:
+        endpoint_ids = sorted(self._unreported_limits)
+        self._unreported_limits.clear()
+        if self.transport is None:
+            return
+        for start in range(
+            0, len(endpoint_ids), limit_sharing.MAX_REPORTED_LIMITS
+        ):
+            self._sequence += 1
+            end = start + limit_sharing.MAX_REPORTED_LIMITS
+            limits = self._limit_reports.report(endpoint_ids[start:end])
+            message = LimitMessage(self._name, self._sequence, limits)
+            self._broadcast_data(_encoder.encode(message), list(self._peers))
+
+    def _on_limits(
+        self, address: pool_lib.Address, message: LimitMessage
+    ) -> None:
+        peer = self._peers.get(address)
+        is_outdated = (
+            peer is None
+            or peer.name != message.sender
+            or peer.limit_sequence >= message.sequence
+        )
+        if peer is None or is_outdated:
+            return
+        peer.limit_sequence = message.sequence
+        self._limit_reports.on_report(message.sender, message.limits)
+
     def connectionRefused(self) -> None:  # noqa: N802
         """Ignores that no process listens on one of the addresses."""
 
@@ -597,15 +683,18 @@
             self._log.info("peer_heard", peer=message.sender, host=host)
         elif known.name != message.sender:
             self._peer_loads.remove(known.name)
+            self._limit_reports.on_peer_end(known.name)
         change = message.announced_change
         if change is not None and change.plan.version in self._ended_versions:
             change = None
+        is_same = known is not None and known.name == message.sender
         self._peers[address] = _PeerState(
             message.sender,
             now_s,
             message.positions,
             message.is_draining,
             change,
+            known.limit_sequence if is_same and known is not None else 0,
         )
         if known is None:
             self._schedule_whole_load()
--- a/libs/gateway/src/godwitdale_gateway/scheduler.py
+++ b/libs/gateway/src/godwitdale_gateway/scheduler.py
@@ -10,6 +10,7 @@
 
 from godwitdale_gateway import directory as directory_lib
 from godwitdale_gateway import iteration_groups
+from godwitdale_gateway import limit_sharing as limit_sharing_lib
 from godwitdale_gateway import peers
 from godwitdale_observe import logs
 from godwitdale_routing import choice
@@ -47,6 +48,9 @@
 # retries, so that callers that were refused together do not all return at the
 # same time.
 _RETRY_JITTER = 1.0
+# Shortest wait for the next request that a rate limit allows, so that rounding
+# does not cause many calls.
+_MIN_ROOM_WAIT_S = 0.002
 # Shortest retry delay. It spans several iterations, in which some slots become
 # free.
 _MIN_RETRY_S = 0.3
@@ -106,6 +110,8 @@
             not declared.
         mean_iterations: Mean iterations of an answer, or 0 if not declared.
         consecutive_refusals: Refusals by endpoints since the last answer.
+        room_timer: Pending call at the time at which a rate limit allows the
+            next request, or None.
     """
 
     times: wait_queue.ServiceTimes
@@ -119,6 +125,7 @@
     tokens_per_iteration: int = 0
     mean_iterations: float = 0.0
     consecutive_refusals: int = 0
+    room_timer: Any = None
 
 
 class Scheduler:
@@ -128,6 +135,7 @@
         self,
         directory: directory_lib.Directory,
         members: iteration_groups.GroupMembers,
+        limit_sharing: limit_sharing_lib.LimitSharing,
         peer_loads: peer_load.PeerLoads,
         chooser: choice.Chooser,
         has_idle_connection: Callable[[str], bool],
@@ -141,6 +149,7 @@
         Args:
             directory: The endpoints.
             members: Groups of the endpoints.
+            limit_sharing: Rate limits of the endpoints.
             peer_loads: The load of the other entries.
             chooser: Picks one of several endpoints.
             has_idle_connection: Returns whether an idle connection to an
@@ -152,6 +161,7 @@
         """
         self._directory = directory
         self._members = members
+        self._limit_sharing = limit_sharing
         self._peer_loads = peer_loads
         self._chooser = chooser
         self._has_idle_connection = has_idle_connection
@@ -340,6 +350,7 @@
             return
         state.queue.add(request, placement.params)
         self._start_timer(request, urgency.due_s - now_s)
+        self._wait_for_room(placement.service)
         self._on_change()
 
     def withdraw(self, request: PendingRequest) -> None:
@@ -372,6 +383,31 @@
                 state.queue.remove(request)
                 self._assign(request, candidates, now_s)
 
+    def _wait_for_room(self, service: str) -> None:
+        """Assigns waiting requests when a rate limit allows the next request.
+
+        Nothing else happens at that time that would assign them.
+        """
+        state = self._state(service)
+        if state.room_timer is not None or not len(state.queue):
+            return
+        now_s = self._reactor.seconds()
+        limits = self._limit_sharing.limits
+        waits_s = [
+            limits.wait_s(record.endpoint.id, now_s)
+            for record in self._directory.of_service(service)
+            if limits.room(record.endpoint.id, now_s) == 0
+        ]
+        if waits_s:
+            state.room_timer = self._reactor.callLater(
+                max(_MIN_ROOM_WAIT_S, min(waits_s)), self._on_room, service
+            )
+
+    def _on_room(self, service: str) -> None:
+        self._state(service).room_timer = None
+        self.assign_waiting(service)
+        self._wait_for_room(service)
+
     def assign_all_waiting(self) -> None:
         """Assigns waiting requests of all services to free slots."""
         for service in list(self._states):
@@ -453,7 +489,12 @@
         self, service: str
     ) -> dict[str, iteration_groups.GroupLoad]:
         return iteration_groups.group_loads(
-            self._directory.of_service(service), self._members, self._peer_loads
+            self._directory.of_service(service),
+            self._members,
+            self._peer_loads,
+            self._limit_sharing.limits,
+            self._state(service).times.total_s,
+            self._reactor.seconds(),
         )
 
     def _load_of(
@@ -502,8 +543,13 @@
         ]
         return [(group, load) for group, load in pairs if group is not None]
 
-    def _free_slots(self, record: directory_lib.EndpointRecord) -> int:
-        return max(0, record.endpoint.slots - self._in_flight(record))
+    def _is_free(
+        self, record: directory_lib.EndpointRecord, now_s: float
+    ) -> bool:
+        """Returns whether a request may be sent to an endpoint now."""
+        endpoint = record.endpoint
+        room = self._limit_sharing.limits.room(endpoint.id, now_s)
+        return room != 0 and self._in_flight(record) < endpoint.slots
 
     def _candidates(
         self,
@@ -524,7 +570,7 @@
         return [
             record
             for record in usable
-            if self._free_slots(record)
+            if self._is_free(record, now_s)
             and permits.get(self._members.key(record.endpoint), 0) > 0
         ]
 
@@ -576,14 +622,19 @@
                 free[name] = permits
         return free
 
-    def _concurrency_limit(self, service: str) -> int:
-        """Returns the sum of the concurrency limits of the groups."""
-        limit = 0
+    def _concurrency_limit(self, service: str) -> float:
+        """Returns how many requests the groups can run at once.
+
+        Endpoints with a rate limit count for the requests that they run at once
+        at that rate.
+        """
+        limit = 0.0
         for load in self._group_loads(service).values():
             group = self._group(service, load)
-            limit += (
-                load.slots if group is None else group.max_running(load.slots)
-            )
+            permits = load.slots
+            if group is not None:
+                permits = group.max_running(load.slots)
+            limit += min(permits, load.usable_slots)
         return limit
 
     def _try_assign(
@@ -631,6 +682,7 @@
         if group is not None and not load.own_in_flight:
             group.progress_s = now_s
         chosen.stats.in_flight += 1
+        self._limit_sharing.record_sent(chosen.endpoint.id)
         self._record_prompt(
             request.placement.service,
             load.name,
@@ -721,7 +773,7 @@
             f"{len(others)} requests wait, "
             f"a place takes {permit_interval_s:.3f} s",
             retry_after_s=self._with_jitter(
-                base_delay_s + len(others) * permit_interval_s
+                base_delay_s + (len(others) + 1) * permit_interval_s
             ),
         )
 
--- a/libs/routing/src/godwitdale_routing/limits.py
+++ b/libs/routing/src/godwitdale_routing/limits.py
@@ -22,10 +22,17 @@
 
     __slots__ = ("rate_per_s", "burst", "_tokens", "_updated_s")
 
-    def __init__(self, rate_per_s: float, burst: float, now_s: float) -> None:
+    def __init__(
+        self,
+        rate_per_s: float,
+        burst: float,
+        now_s: float,
+        tokens: float | None = None,
+    ) -> None:
+        """Creates a bucket that is full unless its tokens are given."""
         self.rate_per_s = rate_per_s
         self.burst = burst
-        self._tokens = burst
+        self._tokens = burst if tokens is None else tokens
         self._updated_s = now_s
 
     def set_rate(self, rate_per_s: float, burst: float, now_s: float) -> None:
@@ -41,11 +48,31 @@
         Returns:
             0 if a token was available, else the time in seconds until one is.
         """
-        self._refill(now_s)
-        if self._tokens >= 1:
+        wait_s = self.wait_s(now_s)
+        if wait_s == 0.0:
             self._tokens -= 1
-            return 0.0
-        return (1 - self._tokens) / self.rate_per_s
+        return wait_s
+
+    def wait_s(self, now_s: float) -> float:
+        """Returns the time in seconds until a token is available, or 0."""
+        self._refill(now_s)
+        return max(0.0, (1 - self._tokens) / self.rate_per_s)
+
+    def available(self, now_s: float) -> float:
+        """Returns the number of tokens, 0 while the bucket is in debt."""
+        self._refill(now_s)
+        return max(0.0, self._tokens)
+
+    def charge(self, tokens: float, max_debt: float, now_s: float) -> None:
+        """Takes tokens even if fewer are available.
+
+        Args:
+            tokens: Number of tokens.
+            max_debt: Largest number of tokens that may be missing afterwards.
+            now_s: The current time.
+        """
+        self._refill(now_s)
+        self._tokens = max(-max_debt, self._tokens - tokens)
 
     def _refill(self, now_s: float) -> None:
         added = max(0.0, now_s - self._updated_s) * self.rate_per_s
--- a/libs/routing/src/godwitdale_routing/wait_queue.py
+++ b/libs/routing/src/godwitdale_routing/wait_queue.py
@@ -26,6 +26,8 @@
 # were free than are reserved. An overload that lasts longer leaves no permits
 # for late requests.
 _MAX_SINCE_SPARE_S = 1.0
+# Fewer permits count as this many, so that intervals stay finite.
+_MIN_PERMITS = 0.01
 # Weight of the newest observation in a moving average.
 _EWMA_WEIGHT = 0.1
 # The latest start of a request is this many mean times to the first part of an
@@ -94,13 +96,13 @@
         """Updates the time to the end of an answer."""
         self.total_s += _EWMA_WEIGHT * (took_s - self.total_s)
 
-    def permit_interval_s(self, permits: int) -> float:
+    def permit_interval_s(self, permits: float) -> float:
         """Returns the mean time between two permits that become free.
 
         Args:
             permits: Requests that the service runs at once.
         """
-        return self.total_s / max(1, permits)
+        return self.total_s / max(_MIN_PERMITS, permits)
 
 
 def urgency(
@@ -150,7 +152,7 @@
     return (ahead + 1) * permit_interval_s <= left_s * _LATE_SHARE
 
 
-def reserved_permits(permits: int) -> int:
+def reserved_permits(permits: float) -> int:
     """Returns how many permits late requests may not take.
 
     A permit that stays free until the next request arrives costs little. A late
--- a/tests/scheduling.py
+++ b/tests/scheduling.py
@@ -4,6 +4,7 @@
 
 from godwitdale_gateway import directory as directory_lib
 from godwitdale_gateway import iteration_groups
+from godwitdale_gateway import limit_sharing
 from godwitdale_gateway import scheduler
 from godwitdale_http import pool
 from godwitdale_observe import logs
@@ -55,9 +56,17 @@
         self.peer_loads = peer_load.PeerLoads()
         rng = random.Random(1)
         self.members = iteration_groups.GroupMembers()
+        self.limit_sharing = limit_sharing.LimitSharing(
+            self.directory,
+            self.announce_limits,
+            lambda service: self.scheduler.assign_waiting(service),
+            clock,
+            logs.EventLog(),
+        )
         self.scheduler = scheduler.Scheduler(
             self.directory,
             self.members,
+            self.limit_sharing,
             self.peer_loads,
             choice.LeastLoaded(rng),
             self.connected.__contains__,
@@ -80,6 +89,9 @@
     def observe_gap(self, name, gap_s, objective_s):
         self.scheduler.observe_gap(self.endpoint(name), gap_s, objective_s)
 
+    def announce_limits(self, endpoint_ids):
+        """Reports limits to other entries; there is none."""
+
     def submit(self, prompt_tokens=800):
         request = PendingRequest(self.clock, prompt_tokens)
         self.scheduler.submit(request)
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -50,6 +50,9 @@
         self.received_positions = []
         self.confirmations = []
         self.settled = []
+        self.sent_count = 0
+        self.received_limits = []
+        self.ended_peers = []
         self.peer_loads = peer_load.PeerLoads()
         self.members = iteration_groups.GroupMembers()
         self.network = network
@@ -60,6 +63,7 @@
             self,
             self,
             self.members,
+            self,
             lambda: None,
             lambda service, _ranks: self.settled.append(service),
             network.clock,
@@ -71,6 +75,15 @@
     def write(self, data, target):
         self.network.deliver(self.address, data, target)
 
+    def report(self, endpoint_ids):
+        return dict.fromkeys(endpoint_ids, (1.5, 100, self.sent_count))
+
+    def on_report(self, peer, reports):
+        self.received_limits.append((peer, reports))
+
+    def on_peer_end(self, peer):
+        self.ended_peers.append(peer)
+
     def reports(self):
         return [], []
 
@@ -332,3 +345,28 @@
     assert second.peer_loads.in_flight("e0") == 0
     network.run(2.0)
     assert second.peer_loads.in_flight("e0") == 3
+
+
+def test_rate_limits_reach_all_entries_within_milliseconds(network):
+    """Guards against requests that are not counted against a limit."""
+    entries = connect(network, *"abcdefgh")
+    entries[0].sent_count = 3
+    entries[0].peers.report_limits([f"i-{number:010d}" for number in range(60)])
+    network.run(0.02, step_s=0.01)
+    for other in entries[1:]:
+        received = {}
+        for peer, limits in other.received_limits:
+            assert peer == "a"
+            received.update(limits)
+        assert len(received) == 60
+        assert received["i-0000000059"] == (1.5, 100, 3)
+    assert all(
+        len(data) <= peers.MAX_DATAGRAM_BYTES for _, _, data in network.sent
+    )
+
+
+def test_counts_of_a_silent_entry_end(network):
+    entries = connect(network, "a", "b")
+    del network.entries[("a", 7)]
+    network.run(5.0)
+    assert entries[1].ended_peers == ["a"]
--- a/tests/unit/test_scheduler.py
+++ b/tests/unit/test_scheduler.py
@@ -172,3 +172,49 @@
     clock.advance(10)
     entry.directory.expire(clock.seconds())
     assert entry.submit().refusal is not None
+
+
+def test_request_goes_to_an_endpoint_without_a_rate_limit(clock):
+    entry = scheduling.Entry(clock)
+    entry.limit_sharing.on_stated("e0", 1.0)
+    names = {entry.submit().record.endpoint.id for _ in range(4)}
+    assert names == {"e1"}
+
+
+def test_request_that_a_rate_limit_allows_in_time_waits_for_it(clock):
+    entry = scheduling.Entry(clock, endpoints=1)
+    entry.scheduler.service_times(scheduling.SERVICE).total_s = 0.1
+    entry.limit_sharing.on_stated("e0", 5.0)
+    request = entry.submit()
+    assert request.record is None and request.refusal is None
+    clock.pump([0.01] * 21)
+    assert request.record is not None
+
+
+def test_request_that_a_rate_limit_delays_too_long_is_refused_at_once(clock):
+    """Guards against callers that wait for a refusal until their objective."""
+    entry = scheduling.Entry(clock, endpoints=1)
+    entry.scheduler.service_times(scheduling.SERVICE).total_s = 0.1
+    entry.limit_sharing.on_stated("e0", 1.0)
+    refusal = entry.submit().refusal
+    assert refusal.reason is outcomes.Reason.OVERLOADED
+    assert refusal.retry_after_s >= 1.0
+
+
+def test_end_of_a_rate_limit_admits_waiting_requests(clock):
+    entry = scheduling.Entry(clock, endpoints=1)
+    entry.scheduler.service_times(scheduling.SERVICE).total_s = 0.1
+    entry.limit_sharing.on_stated("e0", 5.0)
+    request = entry.submit()
+    entry.limit_sharing.on_not_stated("e0")
+    assert request.record is not None
+
+
+def test_assigned_request_counts_before_it_is_sent(clock):
+    entry = scheduling.Entry(clock, endpoints=2)
+    for name in ("e0", "e1"):
+        entry.limit_sharing.on_stated(name, 1.0)
+    clock.advance(1.0)
+    assert entry.submit().record is not None
+    assert entry.submit().record is not None
+    assert entry.submit().record is None
