Forget the answer of an attempt before the next attempt

Callers were told 'not run, try again' for requests that an endpoint had got: the first endpoint refused a request as not run, the second one lost its connection, and the entry still held the kind of the first answer. A request that must not run twice could so be run twice by its caller (REFUSED, TWICE).

Cause: status, headers and kind of an answer were set by its head and kept for the next attempt. Class: state of one attempt kept with the request.

Change: all that belongs to the answer of an attempt is reset when the next one is sent.

--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -285,9 +285,7 @@
         self._attempt_count += 1
         self._times.on_sent(self._context.reactor.seconds())
         self._channel = channel
-        self._body.clear()
-        self._discarded_bytes = 0
-        self._splitter = event_stream.EventSplitter()
+        self._reset_answer()
         forwarded = dialect_lib.ForwardedHeaders(
             endpoint_id=record.endpoint.id,
             account=request.account,
@@ -307,6 +305,16 @@
         )
         channel.send_request(outgoing, self)
 
+    def _reset_answer(self) -> None:
+        """Forgets the answer of the attempt before."""
+        self._status = 0
+        self._headers = []
+        self._answer_kind = dialect_lib.AnswerKind.FOREIGN
+        self._is_streaming = False
+        self._body.clear()
+        self._discarded_bytes = 0
+        self._splitter = event_stream.EventSplitter()
+
     # Callbacks for the answer of an endpoint.
 
     def on_answer_head(self, status: int, headers: headers_lib.Headers) -> None:
