Accept no answer that names no request on a kept connection

A faulty endpoint wrote an earlier refusal once more on a kept connection, without a request id, and then its answer. The refusal was taken for the answer to the next request: its caller was told 'not run', or the request, which the endpoint was running, was sent to a second one (REFUSED, TWICE).

Cause: an answer without a request id was taken for one's own on any connection. On a new connection that is right, since only one request was ever sent on it; on a kept one it proves nothing.

Change: on a kept connection such an answer fails the attempt as one that may have run, and the connection is closed. An answer that names another request is still skipped.

The tests failed before: the request ran at both endpoints, whole or in two pieces, whatever the place of the cut. In the agents, read in the code, requests that must not be repeated always use a new connection.

--- a/libs/gateway/src/godwitdale_gateway/dialect.py
+++ b/libs/gateway/src/godwitdale_gateway/dialect.py
@@ -108,8 +108,16 @@
 
     def is_answer_to(
         self, request_id: bytes, headers: headers_lib.Headers
-    ) -> bool:
-        """Tells whether the head of an answer may belong to a request."""
+    ) -> bool | None:
+        """Tells whether an answer belongs to a request.
+
+        Args:
+            request_id: Id of the request.
+            headers: Headers of the answer.
+
+        Returns:
+            None if the answer names no request although the request has an id.
+        """
 
     def answer_kind(
         self, status: int, headers: headers_lib.Headers
--- a/libs/http/src/godwitdale_http/channel.py
+++ b/libs/http/src/godwitdale_http/channel.py
@@ -37,15 +37,15 @@
             without the headers that frame the body.
         body: The whole body.
         is_own_answer: Returns, given the headers of an answer, whether it
-            answers this request. A late answer to an earlier request is
-            skipped.
+            answers this request, or None if it names no request. A late answer
+            to an earlier request is skipped.
     """
 
     method: bytes
     target: bytes
     headers: headers_lib.Headers
     body: bytes
-    is_own_answer: Callable[[headers_lib.Headers], bool]
+    is_own_answer: Callable[[headers_lib.Headers], bool | None]
 
 
 class AnswerReceiver(Protocol):
@@ -92,6 +92,7 @@
         self._request: OutgoingRequest | None = None
         self._receiver: AnswerReceiver | None = None
         self._is_skipping = False
+        self._request_count = 0
         # Bytes received before the head of the answer, or None after it.
         self._bytes_before_answer: int | None = None
         self._interim_answer_count = 0
@@ -119,6 +120,7 @@
             receiver: Receives the answer.
         """
         self._request = request
+        self._request_count += 1
         self._receiver = receiver
         self._bytes_before_answer = 0
         self._interim_answer_count = 0
@@ -219,7 +221,12 @@
     def _on_head(self, response: h11.Response) -> None:
         assert self._receiver is not None and self._request is not None
         headers = list(response.headers)
-        if not self._request.is_own_answer(headers):
+        is_own = self._request.is_own_answer(headers)
+        if is_own is None and self._request_count > 1:
+            # It may repeat the answer to an earlier request.
+            self._fail("an answer to an unknown request on a kept connection")
+            return
+        if is_own is False:
             self._is_skipping = True
             return
         self._bytes_before_answer = None
