Give up a stream at once if a plain answer comes in its place

A stream had begun and broke off, and the next endpoint answered with a success that is no stream. The entry tried to send that answer as a whole one into the stream, which raised an error inside the HTTP library: the caller got nothing more until its time limit (3 s in the test), and the error was logged without the request.

Cause: an answer that is no stream was taken for the whole answer, without asking whether the caller already had a part of one.

Change: such an answer fails the attempt. The caller's connection is reset at once, so that the stream looks incomplete.

--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -481,6 +481,9 @@
     def _on_success(self) -> None:
         self._record_survival()
         if not self._is_streaming:
+            if self._has_sent_head:
+                self.on_answer_failed("no stream continues the stream")
+                return
             self._record_part()
             self._record_end()
             self._send_complete_answer()
