Do not complete a stream that misses a broken event

A stream broke off inside an event and was resumed at another endpoint, which sent no further event and ended its stream as complete.

Cause: bytes of an event that had begun were dropped with the broken attempt, and with them the knowledge that the event exists.

Change: such an event has to come before a stream may end as complete; otherwise the attempt fails and the stream looks incomplete. A stream that broke off after a whole event may still be completed by an empty one, because nothing shows that an event is missing.

--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -167,6 +167,9 @@
         self._has_survived = False
         self._splitter = event_stream.EventSplitter()
         self._last_event_id = request.headers.last_event_id
+        # Whether an attempt has broken off inside an event that is still to
+        # come.
+        self._misses_event = False
         self._has_sent_head = False
         self._times = answer_times.AnswerTimes(request.incoming.received_s)
         self._has_ended = False
@@ -383,6 +386,8 @@
     def on_answer_failed(self, detail: str) -> None:
         """Handles an answer that is incomplete or not the endpoint's."""
         record = self._endpoint_record
+        if self._splitter.has_partial_event:
+            self._misses_event = True
         self._fail_attempt(detail)
         if self._is_refused_by_endpoint() and self._status:
             self._retry_or_refuse(
@@ -426,6 +431,7 @@
         if event.id is not None and last is not None and event.id <= last:
             return
         self._event_count += 1
+        self._misses_event = False
         if self._event_count >= _SURVIVED_EVENTS:
             self._record_survival()
         self._record_part()
@@ -491,6 +497,9 @@
         if self._splitter.has_partial_event:
             self.on_answer_failed("the stream ended inside an event")
             return
+        if self._misses_event:
+            self.on_answer_failed("the stream ended before the broken event")
+            return
         if not self._has_sent_head:
             self._send_complete_answer()
             return
