Repeat few rate limits at a time

With many limited endpoints an entry would have repeated 24 limits twice a second to all others, 32 kB/s on a site with 24 entries. The messages are charged to the bandwidth of the load, 20 kB/s, so that the load would not have been sent any more and entries would have counted as silent.

Change: four limits in each tick. All entries repeat, so that a new entry still learns many of them within a second.

The test failed before: 24 limits in one tick.

--- a/libs/gateway/src/godwitdale_gateway/limit_sharing.py
+++ b/libs/gateway/src/godwitdale_gateway/limit_sharing.py
@@ -15,6 +15,9 @@
 
 # Endpoints in one report, which is sent in a datagram of its own.
 MAX_REPORTED_LIMITS = 24
+# Endpoints whose limits are repeated in each tick. All entries repeat limits,
+# so that a new entry learns many of them within a second.
+_MAX_REPEATED_LIMITS = 4
 
 
 class LimitSharing:
@@ -76,8 +79,8 @@
         if not endpoint_ids:
             return
         start = self._next_report % len(endpoint_ids)
-        self._next_report = start + MAX_REPORTED_LIMITS
-        self._announce(endpoint_ids[start : start + MAX_REPORTED_LIMITS])
+        self._next_report = start + _MAX_REPEATED_LIMITS
+        self._announce(endpoint_ids[start : start + _MAX_REPEATED_LIMITS])
 
     def report(self, endpoint_ids: Sequence[str]) -> dict[str, LimitReport]:
         """Returns what the other entries need to know of some endpoints."""
--- /dev/null
+++ b/tests/unit/test_limit_sharing.py
@@ -0,0 +1,86 @@
+"""Tests of entries that tell each other the rate limits of endpoints."""
+
+import pytest
+from twisted.internet import task
+
+from godwitdale_gateway import directory as directory_lib
+from godwitdale_gateway import limit_sharing
+from godwitdale_http import pool
+from godwitdale_observe import logs
+
+ENDPOINTS = [f"e{number:02d}" for number in range(40)]
+
+
+class Entry:
+    """One entry, which lists some endpoints."""
+
+    def __init__(self, clock):
+        self.announced = []
+        self.changed_services = []
+        directory = directory_lib.Directory(lambda _: None)
+        for name in ENDPOINTS:
+            address = pool.Address("127.0.0.1", 1)
+            directory.put(
+                directory_lib.Endpoint(name, "llm", address, "z", 4, False), 0.0
+            )
+        self.sharing = limit_sharing.LimitSharing(
+            directory,
+            self.announced.append,
+            self.changed_services.append,
+            clock,
+            logs.EventLog(),
+        )
+
+    def send_to(self, other):
+        """Delivers what was announced since the last time."""
+        for endpoint_ids in self.announced:
+            report = self.sharing.report(endpoint_ids)
+            other.sharing.on_report("entry", report)
+        self.announced.clear()
+
+
+@pytest.fixture
+def clock():
+    return task.Clock()
+
+
+@pytest.fixture
+def entries(clock):
+    return Entry(clock), Entry(clock)
+
+
+def test_limit_its_requests_and_its_end_reach_the_other_entry(entries, clock):
+    first, second = entries
+    first.sharing.on_stated("e00", 2.0)
+    first.send_to(second)
+    assert second.changed_services == ["llm"]
+    clock.advance(1.0)
+    assert second.sharing.limits.room("e00", clock.seconds()) == 2
+    first.sharing.record_sent("e00")
+    first.sharing.record_sent("e00")
+    first.send_to(second)
+    assert second.sharing.limits.room("e00", clock.seconds()) == 0
+    first.sharing.on_not_stated("e00")
+    first.send_to(second)
+    assert second.sharing.limits.limit("e00") is None
+
+
+def test_unlimited_endpoints_cause_no_messages(entries):
+    first, _ = entries
+    first.sharing.record_sent("e00")
+    first.sharing.on_not_stated("e00")
+    first.sharing.tick()
+    assert first.announced == []
+
+
+def test_repeated_limits_leave_bandwidth_for_the_load(entries):
+    """Guards against peers that count as silent while many limits hold."""
+    first, second = entries
+    for name in ENDPOINTS:
+        first.sharing.on_stated(name, 2.0)
+    first.announced.clear()
+    for _ in range(len(ENDPOINTS) // 4):
+        first.sharing.tick()
+        assert len(first.announced[-1]) <= 4
+    first.send_to(second)
+    assert all(second.sharing.limits.limit(name) for name in ENDPOINTS)
