Move the messages between entries into a module of their own

The module of the exchange had grown to 850 lines with the messages for changes of the load, groups and rate limits.

--- a/libs/gateway/src/godwitdale_gateway/limit_sharing.py
+++ b/libs/gateway/src/godwitdale_gateway/limit_sharing.py
@@ -5,14 +5,10 @@
 from typing import Any
 
 from godwitdale_gateway import directory as directory_lib
+from godwitdale_gateway import peer_messages
 from godwitdale_observe import logs
 from godwitdale_routing import rate_limits
 
-LimitReport = tuple[float | None, int, int]
-"""Limit of an endpoint in requests per second or None if it has ended, age of
-this statement in milliseconds, and number of requests that the sender has sent.
-"""
-
 # Endpoints in one report, which is sent in a datagram of its own.
 MAX_REPORTED_LIMITS = 24
 # Endpoints whose limits are repeated in each tick. All entries repeat limits,
@@ -82,7 +78,9 @@
         self._next_report = start + _MAX_REPEATED_LIMITS
         self._announce(endpoint_ids[start : start + _MAX_REPEATED_LIMITS])
 
-    def report(self, endpoint_ids: Sequence[str]) -> dict[str, LimitReport]:
+    def report(
+        self, endpoint_ids: Sequence[str]
+    ) -> dict[str, peer_messages.LimitReport]:
         """Returns what the other entries need to know of some endpoints."""
         now_s = self._clock.seconds()
         statements = self.limits.statements()
@@ -97,7 +95,9 @@
             if endpoint_id in statements
         }
 
-    def on_report(self, peer: str, reports: dict[str, LimitReport]) -> None:
+    def on_report(
+        self, peer: str, reports: dict[str, peer_messages.LimitReport]
+    ) -> None:
         """Takes the report of another entry.
 
         Args:
--- a/libs/gateway/src/godwitdale_gateway/map_changer.py
+++ b/libs/gateway/src/godwitdale_gateway/map_changer.py
@@ -16,7 +16,7 @@
 from godwitdale_experts import map_change
 from godwitdale_gateway import directory as directory_lib
 from godwitdale_gateway import groups
-from godwitdale_gateway import peers as peers_lib
+from godwitdale_gateway import peer_messages
 from godwitdale_gateway import ranks as ranks_lib
 from godwitdale_observe import logs
 from godwitdale_routing import routes
@@ -61,10 +61,10 @@
     def is_oldest(self) -> bool:
         """Whether this entry is the oldest and no other changes a map."""
 
-    def announced_changes(self) -> list[peers_lib.MapChangeNotice]:
+    def announced_changes(self) -> list[peer_messages.MapChangeNotice]:
         """Returns the changes that other entries have announced."""
 
-    def announce(self, change: peers_lib.MapChangeNotice | None) -> None:
+    def announce(self, change: peer_messages.MapChangeNotice | None) -> None:
         """Announces a change to the other entries, or, with None, its end.
 
         The end is announced whatever the outcome of the change is, and also
@@ -165,7 +165,7 @@
                 step = await self._choose_step(group, iteration_s, ahead_s)
                 change.on_copied(step + postponements * _POSTPONED_ITERATIONS)
                 self._peers.announce(
-                    peers_lib.MapChangeNotice(service, change.plan())
+                    peer_messages.MapChangeNotice(service, change.plan())
                 )
                 await self._send_commands(
                     change, group.status.members, new_map, _ARM_TIMEOUT_S
@@ -184,7 +184,7 @@
 
     async def take_over(
         self,
-        notice: peers_lib.MapChangeNotice,
+        notice: peer_messages.MapChangeNotice,
         members: Iterable[directory_lib.Endpoint],
     ) -> map_change.Phase:
         """Tries to complete a change that another entry has started.
--- a/libs/gateway/src/godwitdale_gateway/part_guard.py
+++ b/libs/gateway/src/godwitdale_gateway/part_guard.py
@@ -9,7 +9,7 @@
 from twisted.python import failure
 
 from godwitdale_gateway import directory as directory_lib
-from godwitdale_gateway import peers
+from godwitdale_gateway import peer_messages
 from godwitdale_http import channel as channel_lib
 from godwitdale_http import pool as pool_lib
 from godwitdale_observe import logs
@@ -149,7 +149,7 @@
         )
         return True
 
-    def reports(self) -> tuple[list[peers.CrashReport], list[str]]:
+    def reports(self) -> tuple[list[peer_messages.CrashReport], list[str]]:
         """Returns the crashes and the harmless parts for the other entries."""
         now_s = self._clock.seconds()
         self._quarantine.expire(now_s)
@@ -165,7 +165,7 @@
         return crashes, harmless
 
     def on_reports(
-        self, crashes: list[peers.CrashReport], harmless: list[str]
+        self, crashes: list[peer_messages.CrashReport], harmless: list[str]
     ) -> None:
         """Takes the crashes and the harmless parts that a peer reports.
 
--- /dev/null
+++ b/libs/gateway/src/godwitdale_gateway/peer_messages.py
@@ -0,0 +1,182 @@
+"""Messages that entries send to each other in datagrams."""
+
+import msgspec
+
+from godwitdale_experts import map_change
+
+# Largest message. A larger datagram would be fragmented, and fragmented
+# datagrams are lost more often.
+MAX_DATAGRAM_BYTES = 1400
+
+
+class MapChangeNotice(msgspec.Struct, frozen=True, array_like=True):
+    """Announcement that an entry is about to change an expert map.
+
+    Attributes:
+        service: Name of the service whose map changes.
+        plan: Plan of the change.
+    """
+
+    service: str
+    plan: map_change.ChangePlan
+
+
+CrashReport = tuple[str, int, list[list[str]]]
+"""Id of an endpoint, milliseconds since it crashed, and suspected parts.
+
+The suspected parts are given for each request that may be the cause.
+"""
+
+
+LimitReport = tuple[float | None, int, int]
+"""Limit of an endpoint in requests per second or None if it has ended, age of
+this statement in milliseconds, and number of requests that the sender has sent.
+"""
+
+
+class LoadMessage(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Load and state of one entry, as broadcast to the other entries.
+
+    Attributes:
+        sender: Name of the sender's incarnation.
+        sequence: Message number; grows within one incarnation.
+        in_flight: Number of requests in flight by endpoint.
+        queue_heads: By service, the most urgent waiting requests. Each is
+            given as whether it is late, its priority, and the milliseconds
+            until it is due.
+        positions: By topic, the position up to which the sender has read it
+            and the milliseconds since this was certainly the end of the topic.
+        sent_prompt_tokens: By iteration group, the prompt tokens that this
+            incarnation has sent.
+        announced_change: The change of an expert map that the sender is about
+            to make, or None.
+        is_draining: Whether the sender accepts no new connections.
+        is_final: Whether this is the last message of a stopping sender.
+        crashes: Crashes that parts of prompts may have caused.
+        harmless_parts: Parts that are harmless although they were suspected.
+    """
+
+    sender: str
+    sequence: int
+    in_flight: dict[str, int]
+    queue_heads: dict[str, list[tuple[bool, int, int]]]
+    positions: dict[str, tuple[int, int]]
+    sent_prompt_tokens: dict[str, int]
+    announced_change: MapChangeNotice | None = None
+    is_draining: bool = False
+    is_final: bool = False
+    crashes: list[CrashReport] = []
+    harmless_parts: list[str] = []
+
+
+class LoadChanges(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Changes of the load of one entry since its previous message.
+
+    Attributes:
+        sender: Name of the sender's incarnation.
+        sequence: Message number; shared with ``LoadMessage``.
+        in_flight: Number of requests in flight at the endpoints for which it
+            has changed.
+        queue_heads: All queue heads, as in ``LoadMessage``.
+        sent_prompt_tokens: Prompt tokens sent to the iteration groups for which
+            they have changed.
+    """
+
+    sender: str
+    sequence: int
+    in_flight: dict[str, int]
+    queue_heads: dict[str, list[tuple[bool, int, int]]]
+    sent_prompt_tokens: dict[str, int]
+
+
+class LimitMessage(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Rate limits of endpoints, and requests that count against them.
+
+    Attributes:
+        sender: Name of the sender's incarnation.
+        sequence: Message number; shared with ``LoadMessage``.
+        limits: Limits by id of the endpoint.
+    """
+
+    sender: str
+    sequence: int
+    limits: dict[str, LimitReport]
+
+
+class FreshnessQuery(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Asks another entry how fresh its copy of a topic is.
+
+    Attributes:
+        query_id: Number of the query, which the reply repeats.
+        topic: Name of the topic.
+    """
+
+    query_id: int
+    topic: str
+
+
+class FreshnessReply(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Reply to a freshness query.
+
+    Attributes:
+        query_id: Number of the query.
+        topic: Name of the topic.
+        position: Position up to which the replying entry has read the topic.
+        age_ms: Milliseconds since this was certainly the end of the topic.
+    """
+
+    query_id: int
+    topic: str
+    position: int
+    age_ms: int
+
+
+class MemberQuery(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Asks another entry for the groups of endpoints.
+
+    Attributes:
+        endpoint_ids: Ids of the endpoints.
+    """
+
+    endpoint_ids: list[str]
+
+
+class MemberReply(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Reply to a query for groups, without endpoints that are not known.
+
+    Attributes:
+        groups: Name and size of the group by id of the endpoint.
+    """
+
+    groups: dict[str, tuple[str, int]]
+
+
+Message = (
+    LoadMessage
+    | LoadChanges
+    | LimitMessage
+    | FreshnessQuery
+    | FreshnessReply
+    | MemberQuery
+    | MemberReply
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Returns a message as bytes."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Returns the message in a datagram.
+
+    Args:
+        data: The datagram.
+
+    Raises:
+        msgspec.MsgspecError: It contains no message.
+    """
+    return _decoder.decode(data)
--- a/libs/gateway/src/godwitdale_gateway/peers.py
+++ b/libs/gateway/src/godwitdale_gateway/peers.py
@@ -15,9 +15,9 @@
 import msgspec
 from twisted.internet import protocol
 
-from godwitdale_experts import map_change
 from godwitdale_gateway import iteration_groups
 from godwitdale_gateway import limit_sharing
+from godwitdale_gateway import peer_messages
 from godwitdale_http import pool as pool_lib
 from godwitdale_observe import logs
 from godwitdale_routing import peer_load
@@ -33,9 +33,6 @@
 # ``announce_stop`` send at once, even if no bandwidth is left.
 _BROADCAST_BYTES_PER_S = 20_000.0
 _BROADCAST_BURST_S = 1.0
-# Largest load message. A larger datagram would be fragmented, and fragmented
-# datagrams are lost more often.
-MAX_DATAGRAM_BYTES = 1400
 # Number of entries that one freshness query is sent to.
 _QUERIED_PEERS = 2
 # Number of most recent queries whose replies are still accepted.
@@ -56,156 +53,6 @@
 _MAX_INTRODUCTIONS = 5
 
 
-class MapChangeNotice(msgspec.Struct, frozen=True, array_like=True):
-    """Announcement that an entry is about to change an expert map.
-
-    Attributes:
-        service: Name of the service whose map changes.
-        plan: Plan of the change.
-    """
-
-    service: str
-    plan: map_change.ChangePlan
-
-
-CrashReport = tuple[str, int, list[list[str]]]
-"""Id of an endpoint, milliseconds since it crashed, and suspected parts.
-
-The suspected parts are given for each request that may be the cause.
-"""
-
-
-class LoadMessage(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Load and state of one entry, as broadcast to the other entries.
-
-    Attributes:
-        sender: Name of the sender's incarnation.
-        sequence: Message number; grows within one incarnation.
-        in_flight: Number of requests in flight by endpoint.
-        queue_heads: By service, the most urgent waiting requests. Each is
-            given as whether it is late, its priority, and the milliseconds
-            until it is due.
-        positions: By topic, the position up to which the sender has read it
-            and the milliseconds since this was certainly the end of the topic.
-        sent_prompt_tokens: By iteration group, the prompt tokens that this
-            incarnation has sent.
-        announced_change: The change of an expert map that the sender is about
-            to make, or None.
-        is_draining: Whether the sender accepts no new connections.
-        is_final: Whether this is the last message of a stopping sender.
-        crashes: Crashes that parts of prompts may have caused.
-        harmless_parts: Parts that are harmless although they were suspected.
-    """
-
-    sender: str
-    sequence: int
-    in_flight: dict[str, int]
-    queue_heads: dict[str, list[tuple[bool, int, int]]]
-    positions: dict[str, tuple[int, int]]
-    sent_prompt_tokens: dict[str, int]
-    announced_change: MapChangeNotice | None = None
-    is_draining: bool = False
-    is_final: bool = False
-    crashes: list[CrashReport] = []
-    harmless_parts: list[str] = []
-
-
-class LoadChanges(msgspec.Struct, frozen=True, array_like=True, tag=6):
-    """Changes of the load of one entry since its previous message.
-
-    Attributes:
-        sender: Name of the sender's incarnation.
-        sequence: Message number; shared with ``LoadMessage``.
-        in_flight: Number of requests in flight at the endpoints for which it
-            has changed.
-        queue_heads: All queue heads, as in ``LoadMessage``.
-        sent_prompt_tokens: Prompt tokens sent to the iteration groups for which
-            they have changed.
-    """
-
-    sender: str
-    sequence: int
-    in_flight: dict[str, int]
-    queue_heads: dict[str, list[tuple[bool, int, int]]]
-    sent_prompt_tokens: dict[str, int]
-
-
-class LimitMessage(msgspec.Struct, frozen=True, array_like=True, tag=7):
-    """Rate limits of endpoints, and requests that count against them.
-
-    Attributes:
-        sender: Name of the sender's incarnation.
-        sequence: Message number; shared with ``LoadMessage``.
-        limits: Limits by id of the endpoint.
-    """
-
-    sender: str
-    sequence: int
-    limits: dict[str, limit_sharing.LimitReport]
-
-
-class FreshnessQuery(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """Asks another entry how fresh its copy of a topic is.
-
-    Attributes:
-        query_id: Number of the query, which the reply repeats.
-        topic: Name of the topic.
-    """
-
-    query_id: int
-    topic: str
-
-
-class FreshnessReply(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """Reply to a freshness query.
-
-    Attributes:
-        query_id: Number of the query.
-        topic: Name of the topic.
-        position: Position up to which the replying entry has read the topic.
-        age_ms: Milliseconds since this was certainly the end of the topic.
-    """
-
-    query_id: int
-    topic: str
-    position: int
-    age_ms: int
-
-
-class MemberQuery(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """Asks another entry for the groups of endpoints.
-
-    Attributes:
-        endpoint_ids: Ids of the endpoints.
-    """
-
-    endpoint_ids: list[str]
-
-
-class MemberReply(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """Reply to a query for groups, without endpoints that are not known.
-
-    Attributes:
-        groups: Name and size of the group by id of the endpoint.
-    """
-
-    groups: dict[str, tuple[str, int]]
-
-
-Message = (
-    LoadMessage
-    | LoadChanges
-    | LimitMessage
-    | FreshnessQuery
-    | FreshnessReply
-    | MemberQuery
-    | MemberReply
-)
-
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Message)
-
-
 class TopicCopies(Protocol):
     """The copies of the store's topics that this entry keeps."""
 
@@ -229,11 +76,11 @@
 
     def report(
         self, endpoint_ids: Sequence[str]
-    ) -> dict[str, limit_sharing.LimitReport]:
+    ) -> dict[str, peer_messages.LimitReport]:
         """Returns the limits of some endpoints for the other entries."""
 
     def on_report(
-        self, peer: str, reports: dict[str, limit_sharing.LimitReport]
+        self, peer: str, reports: dict[str, peer_messages.LimitReport]
     ) -> None:
         """Takes the limits that another entry reports."""
 
@@ -244,11 +91,11 @@
 class PartReports(Protocol):
     """What this entry knows of prompt parts that crash endpoints."""
 
-    def reports(self) -> tuple[list[CrashReport], list[str]]:
+    def reports(self) -> tuple[list[peer_messages.CrashReport], list[str]]:
         """Returns crashes and harmless parts for the other entries."""
 
     def on_reports(
-        self, crashes: list[CrashReport], harmless: list[str]
+        self, crashes: list[peer_messages.CrashReport], harmless: list[str]
     ) -> None:
         """Takes the crashes and harmless parts that another entry reports."""
 
@@ -290,7 +137,7 @@
     received_s: float
     positions: dict[str, tuple[int, int]]
     is_draining: bool = False
-    change: MapChangeNotice | None = None
+    change: peer_messages.MapChangeNotice | None = None
     limit_sequence: int = 0
 
 
@@ -351,7 +198,7 @@
         self._has_addresses = False
         self._peers: dict[pool_lib.Address, _PeerState] = {}
         self._is_draining = False
-        self._own_change: MapChangeNotice | None = None
+        self._own_change: peer_messages.MapChangeNotice | None = None
         self._ended_versions: collections.deque[int] = collections.deque(
             maxlen=_MAX_ENDED_CHANGES
         )
@@ -418,7 +265,7 @@
         is_first = self.seniority == 0 and not self.announced_changes()
         return self._has_addresses and is_first
 
-    def announced_changes(self) -> list[MapChangeNotice]:
+    def announced_changes(self) -> list[peer_messages.MapChangeNotice]:
         """Returns the map changes that other entries have announced."""
         return [
             each.change
@@ -426,7 +273,7 @@
             if each.change is not None
         ]
 
-    def announce(self, change: MapChangeNotice | None) -> None:
+    def announce(self, change: peer_messages.MapChangeNotice | None) -> None:
         """Broadcasts a map change, or that the last one has ended.
 
         Args:
@@ -482,22 +329,22 @@
     ) -> None:
         """Handles a message of another entry."""
         try:
-            message = _decoder.decode(datagram)
+            message = peer_messages.decode(datagram)
         except msgspec.MsgspecError as error:
             self._log.info("peer_unreadable", peer=addr[0], detail=str(error))
             return
         address = pool_lib.Address(addr[0], addr[1])
-        if isinstance(message, LoadMessage):
+        if isinstance(message, peer_messages.LoadMessage):
             self._on_load(address, message)
-        elif isinstance(message, LoadChanges):
+        elif isinstance(message, peer_messages.LoadChanges):
             self._on_load_changes(message)
-        elif isinstance(message, LimitMessage):
+        elif isinstance(message, peer_messages.LimitMessage):
             self._on_limits(address, message)
-        elif isinstance(message, FreshnessQuery):
+        elif isinstance(message, peer_messages.FreshnessQuery):
             self._on_freshness_query(address, message)
-        elif isinstance(message, FreshnessReply):
+        elif isinstance(message, peer_messages.FreshnessReply):
             self._on_freshness_reply(message)
-        elif isinstance(message, MemberQuery):
+        elif isinstance(message, peer_messages.MemberQuery):
             self._on_member_query(address, message)
         else:
             self._on_member_reply(message)
@@ -520,7 +367,7 @@
         self._query_times_s[self._last_query_id] = self._reactor.seconds()
         for query_id in list(self._query_times_s)[:-_MAX_OPEN_QUERIES]:
             del self._query_times_s[query_id]
-        query = FreshnessQuery(self._last_query_id, topic)
+        query = peer_messages.FreshnessQuery(self._last_query_id, topic)
         for address in targets[:_QUERIED_PEERS]:
             self._send(address, query)
         return True
@@ -540,10 +387,10 @@
         end = min(len(endpoint_ids), _MAX_QUERIED_MEMBERS * _MAX_MEMBER_QUERIES)
         for start in range(0, end, _MAX_QUERIED_MEMBERS):
             ids = endpoint_ids[start : start + _MAX_QUERIED_MEMBERS]
-            self._send(oldest, MemberQuery(list(ids)))
+            self._send(oldest, peer_messages.MemberQuery(list(ids)))
 
     def _on_member_query(
-        self, address: pool_lib.Address, query: MemberQuery
+        self, address: pool_lib.Address, query: peer_messages.MemberQuery
     ) -> None:
         groups = {
             endpoint_id: (membership.group, membership.size)
@@ -551,9 +398,9 @@
             if (membership := self._members.get(endpoint_id)) is not None
         }
         if groups:
-            self._send(address, MemberReply(groups))
+            self._send(address, peer_messages.MemberReply(groups))
 
-    def _on_member_reply(self, reply: MemberReply) -> None:
+    def _on_member_reply(self, reply: peer_messages.MemberReply) -> None:
         self._members.update(
             {
                 endpoint_id: iteration_groups.Membership(group, size)
@@ -561,8 +408,10 @@
             }
         )
 
-    def _send(self, address: pool_lib.Address, message: Message) -> None:
-        data = _encoder.encode(message)
+    def _send(
+        self, address: pool_lib.Address, message: peer_messages.Message
+    ) -> None:
+        data = peer_messages.encode(message)
         self.transport.write(data, (address.host, address.port))
 
     def _as_of_s(self, address: pool_lib.Address, topic: str) -> float:
@@ -575,18 +424,18 @@
         return peer.received_s - age_ms / 1000
 
     def _on_freshness_query(
-        self, address: pool_lib.Address, query: FreshnessQuery
+        self, address: pool_lib.Address, query: peer_messages.FreshnessQuery
     ) -> None:
         age_s = self._copies.age_s(query.topic)
         position = self._copies.positions().get(query.topic)
         if position is None or age_s > _MAX_AGE_S:
             return
-        reply = FreshnessReply(
+        reply = peer_messages.FreshnessReply(
             query.query_id, query.topic, position, _age_ms(age_s)
         )
         self._send(address, reply)
 
-    def _on_freshness_reply(self, reply: FreshnessReply) -> None:
+    def _on_freshness_reply(self, reply: peer_messages.FreshnessReply) -> None:
         """Confirms the copy of a topic as of the time that a reply proves.
 
         The reply was written after the query was sent. Counting its age from
@@ -598,7 +447,9 @@
                 reply.topic, reply.position, queried_s - reply.age_ms / 1000
             )
 
-    def _on_load(self, address: pool_lib.Address, message: LoadMessage) -> None:
+    def _on_load(
+        self, address: pool_lib.Address, message: peer_messages.LoadMessage
+    ) -> None:
         if message.sender == self._name:
             return
         now_s = self._reactor.seconds()
@@ -624,7 +475,7 @@
         ):
             self._on_change()
 
-    def _on_load_changes(self, message: LoadChanges) -> None:
+    def _on_load_changes(self, message: peer_messages.LoadChanges) -> None:
         now_s = self._reactor.seconds()
         load = _decode_load(message, now_s)
         if self._peer_loads.update_changes(message.sender, load, now_s):
@@ -654,11 +505,15 @@
             self._sequence += 1
             end = start + limit_sharing.MAX_REPORTED_LIMITS
             limits = self._limit_reports.report(endpoint_ids[start:end])
-            message = LimitMessage(self._name, self._sequence, limits)
-            self._broadcast_data(_encoder.encode(message), list(self._peers))
+            message = peer_messages.LimitMessage(
+                self._name, self._sequence, limits
+            )
+            self._broadcast_data(
+                peer_messages.encode(message), list(self._peers)
+            )
 
     def _on_limits(
-        self, address: pool_lib.Address, message: LimitMessage
+        self, address: pool_lib.Address, message: peer_messages.LimitMessage
     ) -> None:
         peer = self._peers.get(address)
         is_outdated = (
@@ -675,7 +530,10 @@
         """Ignores that no process listens on one of the addresses."""
 
     def _update_peer(
-        self, address: pool_lib.Address, message: LoadMessage, now_s: float
+        self,
+        address: pool_lib.Address,
+        message: peer_messages.LoadMessage,
+        now_s: float,
     ) -> None:
         known = self._peers.get(address)
         if known is None:
@@ -743,15 +601,15 @@
         if not (in_flight or tokens or load.queue_heads or sent.queue_heads):
             return
         self._sequence += 1
-        message = LoadChanges(
+        message = peer_messages.LoadChanges(
             self._name,
             self._sequence,
             in_flight,
             _encode_queue_heads(load.queue_heads, self._reactor.seconds()),
             tokens,
         )
-        data = _encoder.encode(message)
-        if len(data) > MAX_DATAGRAM_BYTES:
+        data = peer_messages.encode(message)
+        if len(data) > peer_messages.MAX_DATAGRAM_BYTES:
             self._send_load(load, is_final=False)
             return
         self._sent_load = load
@@ -765,7 +623,7 @@
         self._sent_load = load
         self._sent_positions = dict(self._copies.positions())
         crashes, harmless_parts = self._part_reports.reports()
-        message = LoadMessage(
+        message = peer_messages.LoadMessage(
             self._name,
             self._sequence,
             load.in_flight,
@@ -796,15 +654,15 @@
         for address in targets:
             self.transport.write(data, (address.host, address.port))
 
-    def _encode_load(self, message: LoadMessage) -> bytes:
+    def _encode_load(self, message: peer_messages.LoadMessage) -> bytes:
         """Encodes a load message within the size limit.
 
         If it is too large, the endpoints with the fewest requests in flight
         and then the waiting requests are left out. The state of the sender is
         always included.
         """
-        data = _encoder.encode(message)
-        if len(data) <= MAX_DATAGRAM_BYTES:
+        data = peer_messages.encode(message)
+        if len(data) <= peer_messages.MAX_DATAGRAM_BYTES:
             return data
         self._log.warning("load_too_large", size=len(data))
         busiest = sorted(
@@ -813,14 +671,14 @@
         while busiest:
             del busiest[len(busiest) // 2 :]
             shorter = msgspec.structs.replace(message, in_flight=dict(busiest))
-            data = _encoder.encode(shorter)
-            if len(data) <= MAX_DATAGRAM_BYTES:
+            data = peer_messages.encode(shorter)
+            if len(data) <= peer_messages.MAX_DATAGRAM_BYTES:
                 return data
-        return _encoder.encode(
+        return peer_messages.encode(
             msgspec.structs.replace(message, in_flight={}, queue_heads={})
         )
 
-    def _end_change(self, ended: MapChangeNotice) -> None:
+    def _end_change(self, ended: peer_messages.MapChangeNotice) -> None:
         """Marks a map change as ended and drops all announcements of it."""
         version = ended.plan.version
         if version not in self._ended_versions:
@@ -858,7 +716,7 @@
 
 
 def _decode_load(
-    message: LoadMessage | LoadChanges, now_s: float
+    message: peer_messages.LoadMessage | peer_messages.LoadChanges, now_s: float
 ) -> peer_load.PeerLoad:
     queue_heads = {
         service: tuple(
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -5,6 +5,7 @@
 
 from godwitdale_experts import map_change
 from godwitdale_gateway import iteration_groups
+from godwitdale_gateway import peer_messages
 from godwitdale_gateway import peers
 from godwitdale_http import pool
 from godwitdale_observe import logs
@@ -178,7 +179,7 @@
     assert second.received_positions[-1] == 42
     assert second.peer_loads.in_flight("endpoint-0999") == 999
     datagrams = [data for sender, _, data in network.sent if sender[0] == "a"]
-    assert max(map(len, datagrams)) <= peers.MAX_DATAGRAM_BYTES
+    assert max(map(len, datagrams)) <= peer_messages.MAX_DATAGRAM_BYTES
 
 
 def test_reply_confirms_as_of_the_query_time_minus_its_age(network):
@@ -243,7 +244,7 @@
 
 def test_map_change_is_announced_and_reported_as_settled(network):
     first, second, third = entries = connect(network, "a", "b", "c")
-    first.peers.announce(peers.MapChangeNotice("llm", PLAN))
+    first.peers.announce(peer_messages.MapChangeNotice("llm", PLAN))
     network.clock.advance(0.01)
     assert [each.plan for each in second.peers.announced_changes()] == [PLAN]
     assert seniorities(entries) == [0, 0, 1]
@@ -256,11 +257,11 @@
 
 def test_settled_map_change_is_ignored_when_announced_again(network):
     first, second = connect(network, "a", "b")
-    second.peers.announce(peers.MapChangeNotice("llm", PLAN))
+    second.peers.announce(peer_messages.MapChangeNotice("llm", PLAN))
     network.clock.advance(0.01)
     second.peers.announce(None)
     network.clock.advance(0.01)
-    first.peers.announce(peers.MapChangeNotice("llm", PLAN))
+    first.peers.announce(peer_messages.MapChangeNotice("llm", PLAN))
     network.run(1.5)
     assert second.peers.announced_changes() == []
 
@@ -274,7 +275,7 @@
 
 def test_announcement_of_a_killed_entry_ends_with_its_next_incarnation(network):
     first, second = connect(network, "a", "b")
-    first.peers.announce(peers.MapChangeNotice("llm", PLAN))
+    first.peers.announce(peer_messages.MapChangeNotice("llm", PLAN))
     network.clock.advance(0.01)
     assert not second.peers.is_oldest
     # Names sort by the start time of the incarnations, so "c" is the youngest.
@@ -301,7 +302,8 @@
     assert all(younger.members.get(each) == groups[each] for each in groups)
     assert younger.members.get("unknown") is None
     assert all(
-        len(data) <= peers.MAX_DATAGRAM_BYTES for _, _, data in network.sent
+        len(data) <= peer_messages.MAX_DATAGRAM_BYTES
+        for _, _, data in network.sent
     )
 
 
@@ -361,7 +363,8 @@
         assert len(received) == 60
         assert received["i-0000000059"] == (1.5, 100, 3)
     assert all(
-        len(data) <= peers.MAX_DATAGRAM_BYTES for _, _, data in network.sent
+        len(data) <= peer_messages.MAX_DATAGRAM_BYTES
+        for _, _, data in network.sent
     )
 
 
