Keep announcements from silencing the load of an entry

Cause: each announcement of a change sends the whole load at once and is charged to the bandwidth of the load. Since groups are balanced at the same time, announcements alone used more than that, and the scheduled load waited for seconds.

Change: a message that is sent at once delays the next scheduled one by at most half a second.

The test failed before: the load was not updated within two seconds after a series of announcements.

--- a/libs/gateway/src/godwitdale_gateway/peers.py
+++ b/libs/gateway/src/godwitdale_gateway/peers.py
@@ -30,9 +30,12 @@
 _HEARTBEAT_S = 1.0
 # Bandwidth that one entry may use for scheduled broadcasts of its load, and how
 # many seconds of that bandwidth it may use in one burst. ``broadcast`` and
-# ``announce_stop`` send at once, even if no bandwidth is left.
+# ``announce_stop`` send at once, even if no bandwidth is left. They delay the
+# next scheduled broadcast by at most the longest delay, so that other entries
+# do not take this one for silent.
 _BROADCAST_BYTES_PER_S = 20_000.0
 _BROADCAST_BURST_S = 1.0
+_MAX_URGENT_DELAY_S = 0.5
 # Number of entries that one freshness query is sent to.
 _QUERIED_PEERS = 2
 # Number of most recent queries whose replies are still accepted.
@@ -573,16 +576,20 @@
         self._timer = None
         if self.transport is None:
             return  # The process is stopping.
+        latest_s = self._reactor.seconds() + _MAX_URGENT_DELAY_S
+        latest_s = max(latest_s, self._budget_spent_until_s)
         self._send_load(self._own_load(), is_final=False)
+        self._budget_spent_until_s = min(self._budget_spent_until_s, latest_s)
 
     def _on_timer(self) -> None:
         """Broadcasts the whole load if that is due, otherwise its changes."""
+        self._timer = None
+        if self.transport is None:
+            return  # The process is stopping.
         positions = self._copies.positions()
         if self._whole_load_is_due or positions != self._sent_positions:
-            self.broadcast()
-            return
-        self._timer = None
-        if self.transport is not None:
+            self._send_load(self._own_load(), is_final=False)
+        else:
             self._send_changes(self._own_load())
 
     def _send_changes(self, load: OwnLoad) -> None:
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -373,3 +373,27 @@
     del network.entries[("a", 7)]
     network.run(5.0)
     assert entries[1].ended_peers == ["a"]
+
+
+def test_announcements_in_series_do_not_silence_the_load(network):
+    """Guards against owners of expert maps that count as silent.
+
+    Two announcements for each change of a map used up more bandwidth than an
+    entry with many peers has, so that it reported its load no more.
+    """
+    owner = Entry(network, "a")
+    others = [Entry(network, f"b{number}") for number in range(23)]
+    owner.peers.add_addresses({pool.Address(*each.address) for each in others})
+    names = [f"i-{number:010d}" for number in range(40)]
+    owner.load = peers.OwnLoad(dict.fromkeys(names, 1), {}, {})
+    network.run(3.0)
+    for _ in range(10):
+        owner.peers.announce(peer_messages.MapChangeNotice("llm", PLAN))
+        owner.peers.announce(None)
+        network.run(0.2)
+    owner.load = peers.OwnLoad(dict.fromkeys(names, 2), {}, {})
+    owner.peers.schedule_broadcast()
+    network.run(2.0)
+    assert others[0].peer_loads.in_flight(names[0]) == 2
+    network.run(5.0)
+    assert others[0].ended_peers == []
