Forget iteration groups that have no endpoints any more

Load messages carry the prompts that were sent to each iteration group, and an entry kept every group that it had ever known. With groups that are replaced under new names the messages would have grown until they left out endpoints. Found by reading the change; no run showed it.

Change: groups without endpoints are removed, and prompts that are older than the timeout of a peer.

--- a/libs/gateway/src/godwitdale_gateway/gateway.py
+++ b/libs/gateway/src/godwitdale_gateway/gateway.py
@@ -415,6 +415,7 @@
         self._peers.tick()
         self._limit_sharing.tick()
         self._scheduler.assign_all_waiting()
+        self._scheduler.remove_old_groups()
         self._scheduler.log_load()
 
     def _poll_timeout_s(self, interval_s: float, ended_early: bool) -> float:
--- a/libs/gateway/src/godwitdale_gateway/scheduler.py
+++ b/libs/gateway/src/godwitdale_gateway/scheduler.py
@@ -421,9 +421,6 @@
         """
         for service, state in self._states.items():
             groups = self._modelled_groups(service)
-            names = {load.name for _, load in groups}
-            for name in state.groups.keys() - names:
-                del state.groups[name]
             for group, load in groups:
                 if load.in_flight == 0:
                     continue
@@ -443,6 +440,15 @@
                 )
                 group.longest_gap_s = 0.0
 
+    def remove_old_groups(self) -> None:
+        """Removes what is known of iteration groups without endpoints."""
+        for service, state in self._states.items():
+            names = self._group_loads(service).keys()
+            for name in state.groups.keys() - names:
+                del state.groups[name]
+            for name in state.sent_prompt_tokens.keys() - names:
+                del state.sent_prompt_tokens[name]
+
     def own_load(self) -> peers.OwnLoad:
         """Returns the load of this entry for the other entries."""
         now_s = self._reactor.seconds()
@@ -465,6 +471,7 @@
             name: tokens
             for state in self._states.values()
             for name, tokens in state.sent_prompt_tokens.items()
+            if tokens
         }
         return peers.OwnLoad(in_flight, queue_heads, sent_prompt_tokens)
 
--- a/libs/routing/src/godwitdale_routing/peer_load.py
+++ b/libs/routing/src/godwitdale_routing/peer_load.py
@@ -152,7 +152,10 @@
             self._update_totals()
 
     def remove_silent(self, now_s: float) -> None:
-        """Removes entries that have sent no report within the timeout."""
+        """Removes entries that have sent no report within the timeout.
+
+        Removes records of prompts that are as old, too.
+        """
         silent = [
             peer
             for peer, received_s in self._received_s.items()
@@ -160,6 +163,9 @@
         ]
         for peer in silent:
             self.remove(peer)
+        for group, prompts in list(self._prompts.items()):
+            if now_s - prompts[-1][0] > PEER_TIMEOUT_S:
+                del self._prompts[group]
 
     def in_flight(self, endpoint: str) -> int:
         """Returns how many requests the peers have in flight at an endpoint."""
--- a/tests/unit/test_iteration_groups.py
+++ b/tests/unit/test_iteration_groups.py
@@ -158,3 +158,13 @@
     run_iterations(entry, clock, 3.0, [ITERATION_S] * 3, objective_s=0.3)
     times = entry.scheduler.service_times(scheduling.SERVICE)
     assert times.time_to_first_s >= 1.8 * ITERATION_S
+
+
+def test_state_of_groups_without_endpoints_is_removed(entry, clock):
+    """Guards against load messages that grow with each group that was known."""
+    assert entry.submit(PROMPT_TOKENS).record is not None
+    assert len(entry.scheduler.own_load().sent_prompt_tokens) == 1
+    for number in range(12):
+        entry.directory.remove(f"e{number}")
+    entry.scheduler.remove_old_groups()
+    assert entry.scheduler.own_load().sent_prompt_tokens == {}
