--- a/conftest.py
+++ b/conftest.py
@@ -1,4 +1,6 @@
-"""Expects exactly the tests that ``KNOWN-RED.txt`` lists to fail.
+"""Configures Hypothesis, and expects the listed tests to fail.
+
+Exactly the tests that ``KNOWN-RED.txt`` lists have to fail.
 
 An entry begins with a line ``test: NODE-ID``. A listed test that passes, or
 that a collected file does not contain, fails the run.
@@ -6,11 +8,17 @@
 
 import pathlib
 
+import hypothesis
 import pytest
 
 _LIST_NAME = "KNOWN-RED.txt"
 _TEST_PREFIX = "test: "
 
+hypothesis.settings.register_profile(
+    "fixed", derandomize=True, deadline=None, database=None
+)
+hypothesis.settings.load_profile("fixed")
+
 
 def _read_listed_tests(path: pathlib.Path) -> list[str]:
     if not path.exists():
--- a/libs/claims/src/godwitdale_claims/records.py
+++ b/libs/claims/src/godwitdale_claims/records.py
@@ -7,6 +7,8 @@
 import msgspec
 import xxhash
 
+from godwitdale_verdicts import decoding
+
 PARTITIONS = 64
 _STREAM_PREFIX = "claims-"
 
@@ -74,7 +76,7 @@
 ClaimEvent = Claim | Void | Release | Outcome
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(list[ClaimEvent])
+_decoder = decoding.msgpack_decoder(list[ClaimEvent])
 
 
 def encode(events: list[ClaimEvent]) -> bytes:
@@ -86,7 +88,7 @@
     """Decodes a log record into its batch of events.
 
     Raises:
-        msgspec.MsgspecError: The bytes are not a batch of events.
+        decoding.InvalidDataError: The bytes are not a batch of events.
     """
     return _decoder.decode(data)
 
--- a/libs/declarations/src/godwitdale_declarations/documents.py
+++ b/libs/declarations/src/godwitdale_declarations/documents.py
@@ -12,9 +12,13 @@
 
 import msgspec
 
+from godwitdale_verdicts import decoding
 from godwitdale_verdicts import exceptions
 
 _MAX_SHOWN_CHARS = 60
+_document_decoder = decoding.json_decoder(
+    Any, max_depth=decoding.MAX_RECORD_DEPTH
+)
 
 
 def parse(file: str, data: bytes) -> Any:
@@ -28,8 +32,8 @@
         exceptions.InvalidFileError: The contents are not JSON.
     """
     try:
-        return msgspec.json.decode(data)
-    except msgspec.DecodeError as error:
+        return _document_decoder.decode(data)
+    except decoding.InvalidDataError as error:
         fault = exceptions.Fault("$", str(error), "a JSON document")
         raise exceptions.InvalidFileError(file, [fault]) from error
 
--- a/libs/declarations/src/godwitdale_declarations/fold.py
+++ b/libs/declarations/src/godwitdale_declarations/fold.py
@@ -12,6 +12,7 @@
 
 from godwitdale_declarations import objects
 from godwitdale_declarations import records
+from godwitdale_verdicts import decoding
 
 _MAX_RECENT_RECORDS = 4096
 _MAX_OBJECTS_PER_SNAPSHOT_PART = 200
@@ -105,7 +106,7 @@
         self.next_offset = offset + 1
         try:
             record = records.decode(data)
-        except msgspec.MsgspecError as error:
+        except decoding.InvalidDataError as error:
             return Rejected("", f"not a record: {error}")
         if isinstance(record, records.SnapshotPart):
             return Ignored()
@@ -139,7 +140,7 @@
     ) -> Decision:
         try:
             declared = records.decode_object(body)
-        except msgspec.MsgspecError as error:
+        except decoding.InvalidDataError as error:
             return Rejected(change.id, f"{change.key}: {error}")
         if objects.object_key(declared) != change.key:
             return Rejected(
@@ -310,7 +311,7 @@
     def _collect_snapshot(self, data: bytes) -> None:
         try:
             record = records.decode(data)
-        except msgspec.MsgspecError:
+        except decoding.InvalidDataError:
             return
         if not isinstance(record, records.SnapshotPart):
             return
--- a/libs/declarations/src/godwitdale_declarations/records.py
+++ b/libs/declarations/src/godwitdale_declarations/records.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from godwitdale_declarations import objects
+from godwitdale_verdicts import decoding
 
 SCHEMA_VERSION = 1
 REMOVAL = msgspec.Raw(b"null")
@@ -57,8 +58,12 @@
 Record = Change | SnapshotPart
 
 _encoder = msgspec.json.Encoder(order="deterministic")
-_record_decoder = msgspec.json.Decoder(Record)
-_object_decoder = msgspec.json.Decoder(objects.Object)
+_record_decoder = decoding.json_decoder(
+    Record, max_depth=decoding.MAX_RECORD_DEPTH
+)
+_object_decoder = decoding.json_decoder(
+    objects.Object, max_depth=decoding.MAX_RECORD_DEPTH
+)
 
 
 def encode(record: Record) -> bytes:
@@ -73,8 +78,7 @@
         data: The record as it stands in the log.
 
     Raises:
-        msgspec.DecodeError: The bytes are not JSON.
-        msgspec.ValidationError: The JSON is not a record of this stream.
+        decoding.InvalidDataError: The bytes are not a record of this stream.
     """
     return _record_decoder.decode(data)
 
@@ -91,7 +95,6 @@
         body: The encoded object.
 
     Raises:
-        msgspec.DecodeError: The body is not JSON.
-        msgspec.ValidationError: The JSON is not a declared object.
+        decoding.InvalidDataError: The body is not a declared object.
     """
     return _object_decoder.decode(body)
--- a/libs/experts/src/godwitdale_experts/group.py
+++ b/libs/experts/src/godwitdale_experts/group.py
@@ -10,6 +10,7 @@
 from msgspec import structs
 
 from godwitdale_experts import two_phase_switch
+from godwitdale_verdicts import decoding
 
 _STREAM_PREFIX = "group-"
 FIRST_MAP = 0
@@ -60,7 +61,7 @@
 Record = Lease | Proposal | Decision
 
 _encoder = msgspec.json.Encoder()
-_decoder = msgspec.json.Decoder(Record)
+_decoder = decoding.json_decoder(Record, max_depth=decoding.MAX_RECORD_DEPTH)
 
 
 def encode(record: Record) -> bytes:
@@ -162,7 +163,7 @@
         self.next_offset = offset + 1
         try:
             record = _decoder.decode(data)
-        except msgspec.MsgspecError:
+        except decoding.InvalidDataError:
             return
         if isinstance(record, Lease):
             self._apply_lease(offset, appended_at_s, record)
--- a/libs/gateway/src/godwitdale_gateway/admission.py
+++ b/libs/gateway/src/godwitdale_gateway/admission.py
@@ -9,27 +9,19 @@
 from godwitdale_gateway import store_copies
 from godwitdale_http import callers
 from godwitdale_routing import routes
+from godwitdale_routing import stop_budget as stop_budget_lib
 from godwitdale_routing import wait_queue
 from godwitdale_verdicts import outcomes
 
-# Time after the start of a drain in which streams are still admitted. A later
-# stream could be cut off at the end of the drain; its caller is therefore
-# better served by another entry.
-_DRAIN_STREAM_WINDOW_S = 2.5
-
 
 class Admission:
-    """Decides whether a request is forwarded and to which service.
-
-    Attributes:
-        drain_started_s: When this entry began to drain, or None.
-    """
+    """Decides whether a request is forwarded and to which service."""
 
     def __init__(
         self,
         configuration: store_copies.ConfigurationCopy,
         endpoints: store_copies.EndpointsCopy,
-        stop_timeout_s: float,
+        stop_budget: stop_budget_lib.StopBudget,
         clock: Any,
         rng: random.Random,
     ) -> None:
@@ -38,15 +30,13 @@
         Args:
             configuration: Copy of the configuration in force.
             endpoints: Copy of the list of endpoints.
-            stop_timeout_s: Time from the request to stop until the process is
-                killed.
+            stop_budget: Time that is left once the entry stops.
             clock: A Twisted ``IReactorTime``.
             rng: Draws one of the services of a route.
         """
-        self.drain_started_s: float | None = None
         self._configuration = configuration
         self._endpoints = endpoints
-        self._stop_timeout_s = stop_timeout_s
+        self._stop_budget = stop_budget
         self._clock = clock
         self._rng = rng
 
@@ -82,15 +72,12 @@
                 return outcomes.not_run(
                     outcomes.Reason.UNAUTHENTICATED, "this key is not in force"
                 )
-        if self._is_too_late_in_drain(route):
-            return outcomes.not_run(
-                outcomes.Reason.DRAINING,
-                "this entry is stopping",
-                retry_after_s=refusals.OTHER_ENTRY_RETRY_S,
-            )
         timeout_s = route.timeout_s
         if headers.time_left_s is not None:
             timeout_s = min(timeout_s, headers.time_left_s)
+        deadline_s = incoming.received_s + timeout_s
+        if not self._stop_budget.may_begin(route.is_stream, deadline_s, now_s):
+            return refusals.refuse_for_stop()
         return forwarding.AdmittedRequest(
             incoming=incoming,
             headers=headers,
@@ -98,17 +85,9 @@
             route=route,
             service=route.pick_service(self._rng),
             account=account.name if account else None,
-            deadline_s=incoming.received_s + timeout_s,
+            deadline_s=deadline_s,
         )
 
-    def _is_too_late_in_drain(self, route: routes.Route) -> bool:
-        if self.drain_started_s is None:
-            return False
-        draining_for_s = self._clock.seconds() - self.drain_started_s
-        if route.kind is routes.Kind.STREAM:
-            return draining_for_s > _DRAIN_STREAM_WINDOW_S
-        return draining_for_s + route.timeout_s > self._stop_timeout_s
-
 
 def _scheduling_params(
     incoming: callers.IncomingRequest,
--- a/libs/gateway/src/godwitdale_gateway/dialect.py
+++ b/libs/gateway/src/godwitdale_gateway/dialect.py
@@ -127,5 +127,17 @@
     def rate_limit(self, headers: headers_lib.Headers) -> RateLimitHeader:
         """Returns what an answer states about the limit of its endpoint."""
 
+    def is_leaving(self, headers: headers_lib.Headers) -> bool:
+        """Tells whether an answer states that its endpoint leaves."""
+
+    def pause_s(
+        self, status: int, headers: headers_lib.Headers
+    ) -> float | None:
+        """Returns how long an endpoint that refused a request wants none.
+
+        Returns:
+            The time, or None if the answer names no positive time in seconds.
+        """
+
     def refusal_headers(self, request_id: bytes) -> headers_lib.Headers:
         """Returns the headers that every refusal by the gateway carries."""
--- a/libs/gateway/src/godwitdale_gateway/directory.py
+++ b/libs/gateway/src/godwitdale_gateway/directory.py
@@ -15,6 +15,8 @@
 _LAPSE_GRACE_S = 2.5
 # Largest share of a service's endpoints that may be ejected after failures.
 _MAX_EJECTED_SHARE = 0.5
+# Number of leaving endpoints that are remembered after their records have gone.
+_MAX_LEAVING = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,6 +30,10 @@
         zone: Availability zone of the endpoint.
         slots: Number of requests that the endpoint can run at once.
         is_draining: Whether the endpoint accepts no new requests.
+        started_ms: When this incarnation started, in Unix milliseconds by its
+            own clock, or 0 if its record does not tell.
+        update_count: Grows while this incarnation runs and starts anew with
+            the next one.
     """
 
     id: str
@@ -36,6 +42,18 @@
     zone: str
     slots: int
     is_draining: bool
+    started_ms: int = 0
+    update_count: int = 0
+
+    def is_successor_of(self, earlier: "Endpoint") -> bool:
+        """Returns whether the process has started again since an update.
+
+        Args:
+            earlier: An earlier update under the same id.
+        """
+        if self.started_ms and earlier.started_ms:
+            return self.started_ms != earlier.started_ms
+        return self.update_count < earlier.update_count
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,6 +63,7 @@
     Attributes:
         endpoint: The endpoint as described in the store.
         stats: Load and health of the endpoint.
+        listed_s: When this process first knew of this incarnation.
         grace_until_s: End of the grace period in which the endpoint may still
             be used although its record is missing from the store, or None
             while the store lists the endpoint.
@@ -52,13 +71,31 @@
 
     endpoint: Endpoint
     stats: choice.EndpointStats
+    listed_s: float = 0.0
     grace_until_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Leaving:
+    """An incarnation that has stated that it leaves.
+
+    Attributes:
+        endpoint: The endpoint as last described before.
+        since_s: When it has stated that.
+    """
+
+    endpoint: Endpoint
+    since_s: float
+
+
 class Directory:
-    """The endpoints that the store lists, by id and by service."""
+    """The endpoints that the store lists, by id and by service.
 
-    __slots__ = ("_records", "_by_service", "_on_out_of_service")
+    An endpoint that has stated to leave stays out of service until another
+    incarnation is listed, even if the store loses its record meanwhile.
+    """
+
+    __slots__ = ("_records", "_by_service", "_leaving", "_on_out_of_service")
 
     def __init__(self, on_out_of_service: Callable[[str], None]) -> None:
         """Creates an empty directory.
@@ -69,6 +106,7 @@
         """
         self._records: dict[str, EndpointRecord] = {}
         self._by_service: dict[str, dict[str, EndpointRecord]] = {}
+        self._leaving: dict[str, _Leaving] = {}
         self._on_out_of_service = on_out_of_service
 
     def __len__(self) -> int:
@@ -92,17 +130,55 @@
             record
             for record in self._by_service.get(service, {}).values()
             if not record.endpoint.is_draining
+            and record.endpoint.id not in self._leaving
         ]
 
+    def leaving_ids(self) -> set[str]:
+        """Returns the ids of the listed endpoints that have stated to leave."""
+        return self._leaving.keys() & self._records.keys()
+
+    def leaving_since_s(self, endpoint_id: str) -> float | None:
+        """Returns when an endpoint has stated to leave, or None."""
+        leaving = self._leaving.get(endpoint_id)
+        return None if leaving is None else leaving.since_s
+
+    def mark_leaving(self, endpoint_id: str, since_s: float) -> bool:
+        """Takes an endpoint that has stated to leave out of service.
+
+        Args:
+            endpoint_id: Id of the endpoint.
+            since_s: When it has stated that.
+
+        Returns:
+            Whether this is new. It is not if the endpoint is unknown, or if
+            its present incarnation was not yet listed at that time.
+        """
+        record = self._records.get(endpoint_id)
+        if record is None or endpoint_id in self._leaving:
+            return False
+        if since_s < record.listed_s:
+            return False
+        self._leaving[endpoint_id] = _Leaving(record.endpoint, since_s)
+        if len(self._leaving) > _MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self._on_out_of_service(endpoint_id)
+        return True
+
     def put(self, endpoint: Endpoint, now_s: float) -> None:
         """Adds an endpoint or updates the description of a known one."""
         known = self._records.get(endpoint.id)
-        if known is not None and known.endpoint.service != endpoint.service:
+        if known is not None and (
+            known.endpoint.service != endpoint.service
+            or endpoint.is_successor_of(known.endpoint)
+        ):
             self.remove(endpoint.id)
             known = None
+        leaving = self._leaving.get(endpoint.id)
+        if leaving is not None and endpoint.is_successor_of(leaving.endpoint):
+            del self._leaving[endpoint.id]
         if known is None:
             stats = choice.EndpointStats(endpoint.id, endpoint.zone, now_s)
-            known = EndpointRecord(endpoint, stats)
+            known = EndpointRecord(endpoint, stats, listed_s=now_s)
             self._records[endpoint.id] = known
             in_service = self._by_service.setdefault(endpoint.service, {})
             in_service[endpoint.id] = known
--- a/libs/gateway/src/godwitdale_gateway/event_stream.py
+++ b/libs/gateway/src/godwitdale_gateway/event_stream.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from godwitdale_verdicts import decoding
+
 _ID_FIELD = b"id:"
 _BLANK_LINES = (b"\n\n", b"\r\n\r\n")
 _MAX_BLANK_LINE_BYTES = 4
@@ -81,5 +83,5 @@
     for line in data.splitlines():
         if line.startswith(_ID_FIELD):
             value = line[len(_ID_FIELD) :].strip()
-            return Event(data, int(value) if value.isdigit() else None)
+            return Event(data, decoding.parse_integer(value))
     return Event(data, None)
--- a/libs/gateway/src/godwitdale_gateway/expert_balancer.py
+++ b/libs/gateway/src/godwitdale_gateway/expert_balancer.py
@@ -164,7 +164,8 @@
         while not self._is_stopped:
             await task.deferLater(self._reactor, _BALANCE_INTERVAL_S)
             if self._task_failure is not None:
-                self._task_failure.raiseException()
+                unexpected, self._task_failure = self._task_failure, None
+                unexpected.raiseException()
             if not self._is_owner():
                 # Another entry may change the maps in the meantime.
                 self._groups.clear()
--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -12,10 +12,10 @@
 from godwitdale_gateway import dialect as dialect_lib
 from godwitdale_gateway import directory as directory_lib
 from godwitdale_gateway import event_stream
-from godwitdale_gateway import limit_sharing as limit_sharing_lib
 from godwitdale_gateway import part_guard as part_guard_lib
 from godwitdale_gateway import refusals
 from godwitdale_gateway import scheduler as scheduler_lib
+from godwitdale_gateway import statement_sharing as statement_sharing_lib
 from godwitdale_http import callers
 from godwitdale_http import channel as channel_lib
 from godwitdale_http import headers as headers_lib
@@ -26,6 +26,7 @@
 from godwitdale_routing import choice
 from godwitdale_routing import retries
 from godwitdale_routing import routes
+from godwitdale_routing import stop_budget as stop_budget_lib
 from godwitdale_routing import wait_queue
 from godwitdale_verdicts import outcomes
 from godwitdale_verdicts import verdict as verdict_lib
@@ -88,7 +89,8 @@
         scheduler: Assigns requests to endpoints.
         budgets: Retry budgets by service.
         part_guard: Refuses requests that may crash endpoints.
-        limit_sharing: Takes the rate limits that endpoints name.
+        statement_sharing: Takes what endpoints state in their answers.
+        stop_budget: Time that is left once the process stops.
         buffer_usage: Counts the bytes of buffered answers.
         zone: Availability zone of this process.
         log: The event log.
@@ -102,7 +104,8 @@
     scheduler: scheduler_lib.Scheduler
     budgets: retries.BudgetsByService
     part_guard: part_guard_lib.PartGuard
-    limit_sharing: limit_sharing_lib.LimitSharing
+    statement_sharing: statement_sharing_lib.StatementSharing
+    stop_budget: stop_budget_lib.StopBudget
     buffer_usage: answer_buffer.BufferUsage
     zone: str
     log: logs.EventLog
@@ -193,6 +196,16 @@
         self._cancel_attempt()
         self._end()
 
+    def refuse_if_too_late(self) -> None:
+        """Refuses the request if it waits and may not begin any more."""
+        if self._is_waiting and self._is_too_late():
+            self._cancel_attempt()
+            self._refuse(refusals.refuse_for_stop())
+
+    def stop(self) -> None:
+        """Ends the request because the process is about to exit."""
+        self._give_up(outcomes.Reason.DRAINING, "this entry has stopped")
+
     # Start of an attempt.
 
     def on_assigned(self, record: directory_lib.EndpointRecord) -> None:
@@ -200,6 +213,8 @@
         self._is_waiting = False
         self._endpoint_record = record
         refusal = self._check_parts()
+        if refusal is None and self._is_too_late():
+            refusal = refusals.refuse_for_stop()
         if refusal is not None:
             self._release_endpoint()
             self._refuse(refusal)
@@ -235,7 +250,23 @@
             self._has_survived = True
             self._context.part_guard.on_survived(self, self._parts)
 
+    def _is_too_late(self) -> bool:
+        """Returns whether an attempt could be cut off by the end of a stop.
+
+        An answer that the caller has a part of is continued all the same.
+        """
+        if self._has_sent_head:
+            return False
+        return not self._context.stop_budget.may_begin(
+            self._request.route.is_stream,
+            self._request.deadline_s,
+            self._context.reactor.seconds(),
+        )
+
     def _start_attempt(self) -> None:
+        if self._is_too_late():
+            self._refuse(refusals.refuse_for_stop())
+            return
         self._is_waiting = True
         self._context.scheduler.submit(self)
 
@@ -331,29 +362,38 @@
             return
         if not self._is_refused_by_endpoint():
             record.stats.health.record_success()
-        self._record_rate_limit(record.endpoint.id, headers)
+        self._record_statements(record, status, headers)
 
-    def _record_rate_limit(
-        self, endpoint_id: str, headers: headers_lib.Headers
+    def _record_statements(
+        self,
+        record: directory_lib.EndpointRecord,
+        status: int,
+        headers: headers_lib.Headers,
     ) -> None:
-        """Records the rate limit that an answer of an endpoint names.
+        """Records what an answer states about its endpoint.
 
         An answer without a limit ends the limit only if the endpoint has run
         the request; refusals may leave it out.
         """
-        kind = self._answer_kind
-        limit = self._context.dialect.rate_limit(headers)
-        if kind in (
-            dialect_lib.AnswerKind.FOREIGN,
-            dialect_lib.AnswerKind.MISDIRECTED,
-        ):
+        if self._answer_kind is dialect_lib.AnswerKind.MISDIRECTED:
+            return  # The answer is that of another endpoint.
+        dialect = self._context.dialect
+        sharing = self._context.statement_sharing
+        if dialect.is_leaving(headers):
+            sharing.on_leaving(record)
+        if self._answer_kind is dialect_lib.AnswerKind.FOREIGN:
             return
+        endpoint_id = record.endpoint.id
+        pause_s = dialect.pause_s(status, headers)
+        if pause_s is not None:
+            sharing.on_pause(endpoint_id, pause_s)
+        elif self._is_forwarded_answer():
+            sharing.on_run(endpoint_id)
+        limit = dialect.rate_limit(headers)
         if limit.requests_per_s is not None:
-            self._context.limit_sharing.on_stated(
-                endpoint_id, limit.requests_per_s
-            )
+            sharing.on_stated(endpoint_id, limit.requests_per_s)
         elif not limit.is_stated and self._is_forwarded_answer():
-            self._context.limit_sharing.on_not_stated(endpoint_id)
+            sharing.on_not_stated(endpoint_id)
 
     def on_answer_data(self, data: bytes) -> None:
         """Handles a part of the body."""
--- a/libs/gateway/src/godwitdale_gateway/gateway.py
+++ b/libs/gateway/src/godwitdale_gateway/gateway.py
@@ -9,7 +9,6 @@
 import time
 from typing import Any
 
-from twisted.internet import defer
 from twisted.internet import task
 
 from godwitdale_gateway import admission
@@ -20,7 +19,6 @@
 from godwitdale_gateway import forwarding
 from godwitdale_gateway import groups
 from godwitdale_gateway import iteration_groups
-from godwitdale_gateway import limit_sharing
 from godwitdale_gateway import map_changer
 from godwitdale_gateway import member_reader
 from godwitdale_gateway import part_guard
@@ -29,6 +27,7 @@
 from godwitdale_gateway import refusals
 from godwitdale_gateway import scheduler as scheduler_lib
 from godwitdale_gateway import settings as settings_lib
+from godwitdale_gateway import statement_sharing
 from godwitdale_gateway import store_copies
 from godwitdale_gateway import topic_follower
 from godwitdale_http import callers
@@ -37,12 +36,14 @@
 from godwitdale_observe import histograms as histograms_lib
 from godwitdale_observe import logs
 from godwitdale_process import lifecycle
+from godwitdale_process import supervision
 from godwitdale_routing import choice
 from godwitdale_routing import freshness as freshness_lib
 from godwitdale_routing import peer_load
 from godwitdale_routing import poll_schedule
 from godwitdale_routing import retries
 from godwitdale_routing import routes
+from godwitdale_routing import stop_budget
 from godwitdale_verdicts import exceptions
 from godwitdale_verdicts import identifiers
 from godwitdale_verdicts import outcomes
@@ -52,8 +53,6 @@
 # after two failed readiness probes, one a second; new connections may arrive
 # until then.
 _MIN_DRAIN_S = 2.6
-# Part of the stop timeout that is reserved to close connections and exit.
-_STOP_RESERVE_S = 0.6
 # Share of the time within which a change has to be known. The ends of the
 # entries' polls are staggered so that the poll of one of the entries ends
 # within this share. That poll finds the change even if the store does not end
@@ -106,6 +105,7 @@
         self._rng = random.Random()
         self._dialect = adapters.dialect
         self._pool = pool_lib.Pool(reactor)
+        self._stop_budget = stop_budget.StopBudget(settings.stop_timeout_s)
         self._directory = directory_lib.Directory(self._pool.remove)
         self._configuration = store_copies.ConfigurationCopy(
             adapters.configuration_key,
@@ -145,9 +145,9 @@
         self._endpoints.follower = self._followers[1]
         self._peer_loads = peer_load.PeerLoads()
         members = iteration_groups.GroupMembers()
-        self._limit_sharing = limit_sharing.LimitSharing(
+        self._statement_sharing = statement_sharing.StatementSharing(
             self._directory,
-            lambda endpoint_ids: self._peers.report_limits(endpoint_ids),
+            lambda endpoint_ids: self._peers.report_statements(endpoint_ids),
             lambda service: self._scheduler.assign_waiting(service),
             reactor,
             self._log,
@@ -155,7 +155,7 @@
         self._scheduler = scheduler_lib.Scheduler(
             self._directory,
             members,
-            self._limit_sharing,
+            self._statement_sharing,
             self._peer_loads,
             choice.LeastLoaded(self._rng),
             self._pool.has_idle,
@@ -180,7 +180,7 @@
             ),
             self._part_guard,
             members,
-            self._limit_sharing,
+            self._statement_sharing,
             self._scheduler.assign_all_waiting,
             self._scheduler.on_map_change,
             reactor,
@@ -229,7 +229,8 @@
             scheduler=self._scheduler,
             budgets=self._budgets,
             part_guard=self._part_guard,
-            limit_sharing=self._limit_sharing,
+            statement_sharing=self._statement_sharing,
+            stop_budget=self._stop_budget,
             buffer_usage=answer_buffer.BufferUsage(),
             zone=settings.zone,
             log=self._log,
@@ -238,21 +239,18 @@
         self._admission = admission.Admission(
             self._configuration,
             self._endpoints,
-            settings.stop_timeout_s,
+            self._stop_budget,
             reactor,
             self._rng,
         )
         self._channels: set[callers.CallerChannel] = set()
-        self._in_flight = 0
+        self._forwarders: set[forwarding.RequestForwarder] = set()
         self._ports: list[Any] = []
-        self._freshness_timer = task.LoopingCall(self._check_freshness)
-        self._freshness_timer.clock = reactor
-        self._tick_timer = task.LoopingCall(self._tick)
-        self._tick_timer.clock = reactor
+        self._supervisor = supervision.Supervisor(reactor, self._rng, self._log)
         self.life_cycle = lifecycle.LifeCycle(
             self,
             reactor,
-            max(0.0, settings.stop_timeout_s - _STOP_RESERVE_S),
+            self._stop_budget.drain_s,
             reactor.stop,
             min_drain_s=_MIN_DRAIN_S,
         )
@@ -276,36 +274,53 @@
                 interface=settings.peer_address.host,
             )
         )
+        run = self._supervisor.run
         for follower in self._followers:
-            self._run_task(follower.run())
-        self._run_task(self._register_with_peers())
-        self._run_task(self._member_reader.run())
-        self._run_task(self._expert_balancer.run())
-        self._run_task(self._expert_balancer.watch())
-        self._tick_timer.start(_TICK_INTERVAL_S, now=False)
-        self._freshness_timer.start(_FRESHNESS_CHECK_INTERVAL_S, now=False)
+            run(f"follow {follower.name}", follower.run)
+        run("register", self._register_with_peers)
+        run("read members", self._member_reader.run)
+        run("balance experts", self._expert_balancer.run)
+        run("watch groups", self._expert_balancer.watch)
+        call_every = self._supervisor.call_every
+        call_every("tick", _TICK_INTERVAL_S, self._tick)
+        call_every(
+            "check freshness",
+            _FRESHNESS_CHECK_INTERVAL_S,
+            self._check_freshness,
+        )
         self._log.info("started", zone=settings.zone)
 
     # Methods of lifecycle.Daemon.
 
     def drain(self) -> None:
         """Starts to close each connection after its next answer."""
-        self._admission.drain_started_s = self._reactor.seconds()
+        now_s = self._reactor.seconds()
+        self._stop_budget.start(now_s)
+        self._refuse_late_requests()
+        self._reactor.callLater(
+            self._stop_budget.stream_window_left_s(now_s),
+            self._refuse_late_requests,
+        )
         self._expert_balancer.stop()
         self._peers.announce_drain()
 
     def in_flight(self) -> int:
         """Returns the number of requests in flight."""
-        return self._in_flight
+        return len(self._forwarders)
 
     def abort_requests(self) -> None:
-        """Aborts the connections of all callers."""
-        self._log.warning("cut", in_work=self._in_flight)
-        for channel in list(self._channels):
-            channel.abort()
+        """Ends all requests in flight, each with a truthful verdict.
+
+        The connection of an answer that has begun is reset.
+        """
+        self._log.warning("cut", in_work=len(self._forwarders))
+        for forwarder in list(self._forwarders):
+            forwarder.stop()
 
     def close(self) -> None:
         """Closes ports and idle connections, and stops tasks."""
+        self._stop_budget.close()
+        self._supervisor.stop()
         self._peers.announce_stop()
         for port in self._ports:
             port.stopListening()
@@ -313,9 +328,6 @@
             channel.close_if_idle()
         for follower in self._followers:
             follower.stop()
-        for timer in (self._tick_timer, self._freshness_timer):
-            if timer.running:
-                timer.stop()
         self._pool.close()
 
     # Methods of callers.RequestHandler.
@@ -327,7 +339,7 @@
 
     def is_draining(self) -> bool:
         """Tells whether connections close after their next answer."""
-        return self._admission.drain_started_s is not None
+        return self._stop_budget.is_stopping
 
     def on_connect(self, channel: callers.CallerChannel) -> None:
         """Registers the connection of a caller."""
@@ -346,13 +358,13 @@
         if isinstance(admission_result, outcomes.Refusal):
             self._refuse(headers, admission_result, channel)
             return callers.NO_ACTIVE_REQUEST
-        self._in_flight += 1
         forwarder = forwarding.RequestForwarder(
             admission_result,
             channel,
             self._forwarding_context,
-            self._on_request_end,
+            lambda: self._forwarders.discard(forwarder),
         )
+        self._forwarders.add(forwarder)
         forwarder.start()
         return forwarder
 
@@ -360,7 +372,7 @@
         """Tells whether this entry accepts new connections."""
         now_s = self._reactor.seconds()
         return (
-            self._admission.drain_started_s is None
+            not self._stop_budget.is_stopping
             and self._endpoints.is_complete
             and self._configuration.current is not None
             and self._configuration.freshness.is_ready(now_s)
@@ -371,7 +383,7 @@
         now_s = self._reactor.seconds()
         configuration = self._configuration.current
         gauges = {
-            "requests_in_work": float(self._in_flight),
+            "requests_in_work": float(len(self._forwarders)),
             "caller_connections": float(len(self._channels)),
             "endpoints": float(len(self._directory)),
             "entries_heard": float(self._peers.live_count),
@@ -413,7 +425,7 @@
         self._directory.expire(self._reactor.seconds())
         self._pool.close_expired()
         self._peers.tick()
-        self._limit_sharing.tick()
+        self._statement_sharing.tick()
         self._scheduler.assign_all_waiting()
         self._scheduler.remove_old_groups()
         self._scheduler.log_load()
@@ -474,15 +486,10 @@
         self._peers.add_addresses(addresses - {own_address})
         self._budgets.set_max_tokens(self._own_retry_burst())
 
-    def _run_task(self, coroutine: Any) -> None:
-        defer.ensureDeferred(coroutine).addErrback(self._on_task_failure)
-
-    def _on_task_failure(self, reason: Any) -> None:
-        self._log.warning("task_failed", detail=reason.getTraceback())
-        self._reactor.stop()
-
-    def _on_request_end(self) -> None:
-        self._in_flight -= 1
+    def _refuse_late_requests(self) -> None:
+        """Refuses the waiting requests that may not begin any more."""
+        for forwarder in list(self._forwarders):
+            forwarder.refuse_if_too_late()
 
 
 _DEFAULT_LIMITS = routes.CallerLimits()
--- a/libs/gateway/src/godwitdale_gateway/iteration_groups.py
+++ b/libs/gateway/src/godwitdale_gateway/iteration_groups.py
@@ -9,11 +9,11 @@
 from collections.abc import Mapping
 import dataclasses
 import math
+from typing import Protocol
 
 from godwitdale_gateway import directory as directory_lib
 from godwitdale_routing import concurrency as concurrency_lib
 from godwitdale_routing import peer_load
-from godwitdale_routing import rate_limits as rate_limits_lib
 from godwitdale_routing import routes
 
 # Events of two streams belong to the same iteration if they arrive closer
@@ -234,11 +234,23 @@
     size: int = 0
 
 
+class EndpointRooms(Protocol):
+    """Requests that endpoints take by what they state in their answers."""
+
+    def room(self, endpoint_id: str, now_s: float) -> int | None:
+        """Returns how many requests may be sent now, or None if unlimited."""
+
+    def concurrency(
+        self, endpoint_id: str, slots: int, total_s: float, now_s: float
+    ) -> float:
+        """Returns how many requests an endpoint runs at once at present."""
+
+
 def group_loads(
     records: Iterable[directory_lib.EndpointRecord],
     members: GroupMembers,
     peer_loads: peer_load.PeerLoads,
-    rate_limits: rate_limits_lib.RateLimits,
+    rooms: EndpointRooms,
     total_s: float,
     now_s: float,
 ) -> dict[str, GroupLoad]:
@@ -248,7 +260,7 @@
         records: The endpoints.
         members: Groups of the endpoints.
         peer_loads: Load reports of the other entries.
-        rate_limits: Rate limits of the endpoints.
+        rooms: Requests that the endpoints take at present.
         total_s: Mean time of a request.
         now_s: The current time.
     """
@@ -263,10 +275,10 @@
         in_flight = own + peer_loads.in_flight(endpoint.id)
         load.slots += endpoint.slots
         free_slots = max(0, endpoint.slots - in_flight)
-        room = rate_limits.room(endpoint.id, now_s)
+        room = rooms.room(endpoint.id, now_s)
         load.free_slots += free_slots if room is None else min(free_slots, room)
-        load.usable_slots += rate_limits.concurrency(
-            endpoint.id, endpoint.slots, total_s
+        load.usable_slots += rooms.concurrency(
+            endpoint.id, endpoint.slots, total_s, now_s
         )
         load.in_flight += in_flight
         load.own_in_flight += own
--- a/libs/gateway/src/godwitdale_gateway/map_changer.py
+++ b/libs/gateway/src/godwitdale_gateway/map_changer.py
@@ -170,8 +170,10 @@
                 await self._send_commands(
                     change, group.status.members, new_map, _ARM_TIMEOUT_S
                 )
-                self._peers.announce(None)
             finally:
+                # Also after an unexpected error: while a change is announced,
+                # no other entry begins one.
+                self._peers.announce(None)
                 self._announcement_lock.release()
             postponements += 1
         self._log_outcome("experts_change", service, change)
--- a/libs/gateway/src/godwitdale_gateway/peer_messages.py
+++ b/libs/gateway/src/godwitdale_gateway/peer_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from godwitdale_experts import map_change
+from godwitdale_verdicts import decoding
 
 # Largest message. A larger datagram would be fragmented, and fragmented
 # datagrams are lost more often.
@@ -89,18 +90,21 @@
     sent_prompt_tokens: dict[str, int]
 
 
-class LimitMessage(msgspec.Struct, frozen=True, array_like=True, tag=7):
-    """Rate limits of endpoints, and requests that count against them.
+class StatementMessage(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """What endpoints state in their answers.
 
     Attributes:
         sender: Name of the sender's incarnation.
         sequence: Message number; shared with ``LoadMessage``.
         limits: Limits by id of the endpoint.
+        leaving_ages_ms: Milliseconds since endpoints have stated to leave, by
+            id of the endpoint.
     """
 
     sender: str
     sequence: int
     limits: dict[str, LimitReport]
+    leaving_ages_ms: dict[str, decoding.Count] = {}
 
 
 class FreshnessQuery(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -154,7 +158,7 @@
 Message = (
     LoadMessage
     | LoadChanges
-    | LimitMessage
+    | StatementMessage
     | FreshnessQuery
     | FreshnessReply
     | MemberQuery
@@ -162,7 +166,7 @@
 )
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Message)
+_decoder = decoding.msgpack_decoder(Message)
 
 
 def encode(message: Message) -> bytes:
@@ -177,6 +181,6 @@
         data: The datagram.
 
     Raises:
-        msgspec.MsgspecError: It contains no message.
+        decoding.InvalidDataError: It contains no message.
     """
     return _decoder.decode(data)
--- a/libs/gateway/src/godwitdale_gateway/peers.py
+++ b/libs/gateway/src/godwitdale_gateway/peers.py
@@ -16,12 +16,13 @@
 from twisted.internet import protocol
 
 from godwitdale_gateway import iteration_groups
-from godwitdale_gateway import limit_sharing
 from godwitdale_gateway import peer_messages
+from godwitdale_gateway import statement_sharing
 from godwitdale_http import pool as pool_lib
 from godwitdale_observe import logs
 from godwitdale_routing import peer_load
 from godwitdale_routing import wait_queue
+from godwitdale_verdicts import decoding
 
 # Changes of the load are collected for this long before they are broadcast.
 _BROADCAST_DELAY_S = 0.005
@@ -74,8 +75,8 @@
         """Takes another entry's statement of where a topic ended at a time."""
 
 
-class LimitReports(Protocol):
-    """What this entry knows of the rate limits of endpoints."""
+class StatementReports(Protocol):
+    """What this entry knows of the statements of endpoints."""
 
     def report(
         self, endpoint_ids: Sequence[str]
@@ -87,6 +88,12 @@
     ) -> None:
         """Takes the limits that another entry reports."""
 
+    def leaving_report(self, endpoint_ids: Sequence[str]) -> dict[str, int]:
+        """Returns which endpoints leave, for the other entries."""
+
+    def on_leaving_report(self, peer: str, ages_ms: dict[str, int]) -> None:
+        """Takes the endpoints that leave from another entry."""
+
     def on_peer_end(self, peer: str) -> None:
         """Takes that an incarnation of another entry has ended."""
 
@@ -133,7 +140,7 @@
             the milliseconds since this was certainly the end of the topic.
         is_draining: Whether the peer accepts no new connections.
         change: The map change that the peer has announced, or None.
-        limit_sequence: Number of its last message with rate limits.
+        statement_sequence: Number of its last message with statements.
     """
 
     name: str
@@ -141,7 +148,7 @@
     positions: dict[str, tuple[int, int]]
     is_draining: bool = False
     change: peer_messages.MapChangeNotice | None = None
-    limit_sequence: int = 0
+    statement_sequence: int = 0
 
 
 class Peers(protocol.DatagramProtocol):
@@ -157,7 +164,7 @@
         copies: TopicCopies,
         part_reports: PartReports,
         members: iteration_groups.GroupMembers,
-        limit_reports: LimitReports,
+        statement_reports: StatementReports,
         on_change: Callable[[], None],
         on_map_change_end: Callable[[str, Sequence[str]], None],
         reactor: Any,
@@ -173,7 +180,7 @@
             copies: The copies of the store's topics that this entry keeps.
             part_reports: What this entry knows of parts that crash endpoints.
             members: Groups of the endpoints.
-            limit_reports: What this entry knows of rate limits.
+            statement_reports: What this entry knows of endpoints' statements.
             on_change: Called when the load of another entry has changed.
             on_map_change_end: Called with the name of a service and the ids of
                 the ranks of a group when the end of a change of the expert map
@@ -187,9 +194,9 @@
         self._copies = copies
         self._part_reports = part_reports
         self._members = members
-        self._limit_reports = limit_reports
-        # Endpoints whose rate limits are to be reported.
-        self._unreported_limits: set[str] = set()
+        self._statement_reports = statement_reports
+        # Endpoints whose statements are to be reported.
+        self._unreported_statements: set[str] = set()
         self._query_times_s: dict[int, float] = {}
         self._last_query_id = 0
         self._on_change = on_change
@@ -313,7 +320,7 @@
         for address, each in list(self._peers.items()):
             if now_s - each.received_s > peer_load.PEER_TIMEOUT_S:
                 del self._peers[address]
-                self._limit_reports.on_peer_end(each.name)
+                self._statement_reports.on_peer_end(each.name)
                 self._log.info("peer_silent", peer=each.name)
         self._peer_loads.remove_silent(now_s)
 
@@ -333,7 +340,7 @@
         """Handles a message of another entry."""
         try:
             message = peer_messages.decode(datagram)
-        except msgspec.MsgspecError as error:
+        except decoding.InvalidDataError as error:
             self._log.info("peer_unreadable", peer=addr[0], detail=str(error))
             return
         address = pool_lib.Address(addr[0], addr[1])
@@ -341,8 +348,8 @@
             self._on_load(address, message)
         elif isinstance(message, peer_messages.LoadChanges):
             self._on_load_changes(message)
-        elif isinstance(message, peer_messages.LimitMessage):
-            self._on_limits(address, message)
+        elif isinstance(message, peer_messages.StatementMessage):
+            self._on_statements(address, message)
         elif isinstance(message, peer_messages.FreshnessQuery):
             self._on_freshness_query(address, message)
         elif isinstance(message, peer_messages.FreshnessReply):
@@ -459,7 +466,7 @@
         if message.is_final:
             self._peers.pop(address, None)
             self._peer_loads.remove(message.sender)
-            self._limit_reports.on_peer_end(message.sender)
+            self._statement_reports.on_peer_end(message.sender)
             self._on_change()
             return
         self._update_peer(address, message, now_s)
@@ -484,8 +491,8 @@
         if self._peer_loads.update_changes(message.sender, load, now_s):
             self._on_change()
 
-    def report_limits(self, endpoint_ids: Iterable[str]) -> None:
-        """Reports rate limits of endpoints to the other entries soon.
+    def report_statements(self, endpoint_ids: Iterable[str]) -> None:
+        """Reports statements of endpoints to the other entries soon.
 
         The delay is short even if no bandwidth is left: requests that are not
         known to the other entries are not counted against a limit.
@@ -493,41 +500,47 @@
         Args:
             endpoint_ids: Ids of the endpoints.
         """
-        if not self._unreported_limits:
-            self._reactor.callLater(_BROADCAST_DELAY_S, self._send_limits)
-        self._unreported_limits.update(endpoint_ids)
+        if not self._unreported_statements:
+            self._reactor.callLater(_BROADCAST_DELAY_S, self._send_statements)
+        self._unreported_statements.update(endpoint_ids)
 
-    def _send_limits(self) -> None:
-        endpoint_ids = sorted(self._unreported_limits)
-        self._unreported_limits.clear()
+    def _send_statements(self) -> None:
+        endpoint_ids = sorted(self._unreported_statements)
+        self._unreported_statements.clear()
         if self.transport is None:
             return
         for start in range(
-            0, len(endpoint_ids), limit_sharing.MAX_REPORTED_LIMITS
+            0, len(endpoint_ids), statement_sharing.MAX_REPORTED_ENDPOINTS
         ):
             self._sequence += 1
-            end = start + limit_sharing.MAX_REPORTED_LIMITS
-            limits = self._limit_reports.report(endpoint_ids[start:end])
-            message = peer_messages.LimitMessage(
-                self._name, self._sequence, limits
+            end = start + statement_sharing.MAX_REPORTED_ENDPOINTS
+            reported = endpoint_ids[start:end]
+            message = peer_messages.StatementMessage(
+                self._name,
+                self._sequence,
+                self._statement_reports.report(reported),
+                self._statement_reports.leaving_report(reported),
             )
             self._broadcast_data(
                 peer_messages.encode(message), list(self._peers)
             )
 
-    def _on_limits(
-        self, address: pool_lib.Address, message: peer_messages.LimitMessage
+    def _on_statements(
+        self, address: pool_lib.Address, message: peer_messages.StatementMessage
     ) -> None:
         peer = self._peers.get(address)
         is_outdated = (
             peer is None
             or peer.name != message.sender
-            or peer.limit_sequence >= message.sequence
+            or peer.statement_sequence >= message.sequence
         )
         if peer is None or is_outdated:
             return
-        peer.limit_sequence = message.sequence
-        self._limit_reports.on_report(message.sender, message.limits)
+        peer.statement_sequence = message.sequence
+        self._statement_reports.on_report(message.sender, message.limits)
+        self._statement_reports.on_leaving_report(
+            message.sender, message.leaving_ages_ms
+        )
 
     def connectionRefused(self) -> None:  # noqa: N802
         """Ignores that no process listens on one of the addresses."""
@@ -544,7 +557,7 @@
             self._log.info("peer_heard", peer=message.sender, host=host)
         elif known.name != message.sender:
             self._peer_loads.remove(known.name)
-            self._limit_reports.on_peer_end(known.name)
+            self._statement_reports.on_peer_end(known.name)
         change = message.announced_change
         if change is not None and change.plan.version in self._ended_versions:
             change = None
@@ -555,7 +568,7 @@
             message.positions,
             message.is_draining,
             change,
-            known.limit_sequence if is_same and known is not None else 0,
+            known.statement_sequence if is_same and known is not None else 0,
         )
         if known is None:
             self._schedule_whole_load()
--- a/libs/gateway/src/godwitdale_gateway/refusals.py
+++ b/libs/gateway/src/godwitdale_gateway/refusals.py
@@ -36,6 +36,15 @@
     return _BAD_GATEWAY
 
 
+def refuse_for_stop() -> outcomes.Refusal:
+    """Returns the refusal of a request that a stopping entry does not begin."""
+    return outcomes.not_run(
+        outcomes.Reason.DRAINING,
+        "this entry is stopping",
+        retry_after_s=OTHER_ENTRY_RETRY_S,
+    )
+
+
 def send_refusal(
     channel: callers.CallerChannel,
     refusal: outcomes.Refusal,
--- a/libs/gateway/src/godwitdale_gateway/scheduler.py
+++ b/libs/gateway/src/godwitdale_gateway/scheduler.py
@@ -10,8 +10,8 @@
 
 from godwitdale_gateway import directory as directory_lib
 from godwitdale_gateway import iteration_groups
-from godwitdale_gateway import limit_sharing as limit_sharing_lib
 from godwitdale_gateway import peers
+from godwitdale_gateway import statement_sharing as statement_sharing_lib
 from godwitdale_observe import logs
 from godwitdale_routing import choice
 from godwitdale_routing import concurrency as concurrency_lib
@@ -135,7 +135,7 @@
         self,
         directory: directory_lib.Directory,
         members: iteration_groups.GroupMembers,
-        limit_sharing: limit_sharing_lib.LimitSharing,
+        statement_sharing: statement_sharing_lib.StatementSharing,
         peer_loads: peer_load.PeerLoads,
         chooser: choice.Chooser,
         has_idle_connection: Callable[[str], bool],
@@ -149,7 +149,7 @@
         Args:
             directory: The endpoints.
             members: Groups of the endpoints.
-            limit_sharing: Rate limits of the endpoints.
+            statement_sharing: Rate limits and pauses of the endpoints.
             peer_loads: The load of the other entries.
             chooser: Picks one of several endpoints.
             has_idle_connection: Returns whether an idle connection to an
@@ -161,7 +161,7 @@
         """
         self._directory = directory
         self._members = members
-        self._limit_sharing = limit_sharing
+        self._statement_sharing = statement_sharing
         self._peer_loads = peer_loads
         self._chooser = chooser
         self._has_idle_connection = has_idle_connection
@@ -362,6 +362,7 @@
     def release(self, record: directory_lib.EndpointRecord) -> None:
         """Frees the slot of a request that has left its endpoint."""
         record.stats.in_flight -= 1
+        self._statement_sharing.pauses.record_end(record.endpoint.id)
         self._on_change()
         self.assign_waiting(record.endpoint.service)
 
@@ -384,7 +385,7 @@
                 self._assign(request, candidates, now_s)
 
     def _wait_for_room(self, service: str) -> None:
-        """Assigns waiting requests when a rate limit allows the next request.
+        """Assigns waiting requests when a limit or pause allows the next one.
 
         Nothing else happens at that time that would assign them.
         """
@@ -392,11 +393,11 @@
         if state.room_timer is not None or not len(state.queue):
             return
         now_s = self._reactor.seconds()
-        limits = self._limit_sharing.limits
+        statements = self._statement_sharing
         waits_s = [
-            limits.wait_s(record.endpoint.id, now_s)
+            statements.wait_s(record.endpoint.id, now_s)
             for record in self._directory.of_service(service)
-            if limits.room(record.endpoint.id, now_s) == 0
+            if statements.room(record.endpoint.id, now_s) == 0
         ]
         if waits_s:
             state.room_timer = self._reactor.callLater(
@@ -499,7 +500,7 @@
             self._directory.of_service(service),
             self._members,
             self._peer_loads,
-            self._limit_sharing.limits,
+            self._statement_sharing,
             self._state(service).times.total_s,
             self._reactor.seconds(),
         )
@@ -555,7 +556,7 @@
     ) -> bool:
         """Returns whether a request may be sent to an endpoint now."""
         endpoint = record.endpoint
-        room = self._limit_sharing.limits.room(endpoint.id, now_s)
+        room = self._statement_sharing.room(endpoint.id, now_s)
         return room != 0 and self._in_flight(record) < endpoint.slots
 
     def _candidates(
@@ -689,7 +690,7 @@
         if group is not None and not load.own_in_flight:
             group.progress_s = now_s
         chosen.stats.in_flight += 1
-        self._limit_sharing.record_sent(chosen.endpoint.id)
+        self._statement_sharing.record_sent(chosen.endpoint.id)
         self._record_prompt(
             request.placement.service,
             load.name,
@@ -745,7 +746,7 @@
         """Returns a refusal if the request may not wait, else None.
 
         It may not wait if it was already sent to all endpoints of its service,
-        or if it cannot expect to start in time.
+        if all of them ask for a pause, or if it cannot expect to start in time.
         """
         service = request.placement.service
         state = self._state(service)
@@ -759,6 +760,17 @@
                 "no endpoint takes work",
                 retry_after_s=self._with_jitter(_NO_ENDPOINT_RETRY_S),
             )
+        pause_left_s = min(
+            self._statement_sharing.pauses.wait_s(record.endpoint.id, now_s)
+            for record in records
+        )
+        if pause_left_s > 0:
+            return outcomes.not_run(
+                outcomes.Reason.OVERLOADED,
+                f"all endpoints ask for a pause, of {pause_left_s:.3f} s "
+                "at least",
+                retry_after_s=pause_left_s + self._with_jitter(_MIN_RETRY_S),
+            )
         permits = self._concurrency_limit(service)
         permit_interval_s = state.times.permit_interval_s(permits)
         spare_age_s = now_s - state.spare_capacity_s
--- a/libs/gateway/src/godwitdale_gateway/store_copies.py
+++ b/libs/gateway/src/godwitdale_gateway/store_copies.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.python import failure
+
 from godwitdale_gateway import directory as directory_lib
 from godwitdale_gateway import topic_follower
 from godwitdale_observe import logs
@@ -69,7 +71,12 @@
         for value in reversed(values):
             configuration = self._decode(value)
             if configuration is None:
-                self._log.warning("configuration_unreadable", size=len(value))
+                current = self.current
+                self._log.warning(
+                    "configuration_unreadable",
+                    size=len(value),
+                    version_in_force=current and current.version,
+                )
                 continue
             self._set_current(configuration)
             return
@@ -88,8 +95,17 @@
         if current is not None and configuration.version <= current.version:
             return
         self.current = configuration
-        self._on_change(configuration)
         self._log.info("configuration_in_force", version=configuration.version)
+        try:
+            self._on_change(configuration)
+        except Exception:
+            # Routes and keys are in force; what a component could not use must
+            # not end the following of the topic.
+            self._log.warning(
+                "configuration_not_applied",
+                version=configuration.version,
+                detail=failure.Failure().getTraceback(),
+            )
 
 
 class EndpointsCopy:
@@ -131,7 +147,15 @@
                 self._remove_or_lapse(endpoint_id)
             self.is_complete = True
         for record in page.records:
-            self._apply_record(record)
+            try:
+                self._apply_record(record)
+            except Exception:
+                # One record must not keep the others from being applied.
+                self._log.warning(
+                    "endpoint_not_applied",
+                    endpoint=record.key,
+                    detail=failure.Failure().getTraceback(),
+                )
 
     def confirm(self, as_of_s: float) -> None:
         """Removes lapsed endpoints whose grace period is over.
--- a/libs/godwitdale/src/godwitdale/agent.py
+++ b/libs/godwitdale/src/godwitdale/agent.py
@@ -4,7 +4,6 @@
 import time
 from typing import Any
 
-from twisted.internet import defer
 from twisted.internet import task
 
 from godwitdale import agent_peers
@@ -83,9 +82,9 @@
     def start(self) -> None:
         """Listens on the ports and starts the background tasks."""
         super().start()
-        defer.ensureDeferred(self._group_member.run())
+        self._supervisor.run("lead group", self._group_member.run)
         if self._settings.backend.kind == "engine":
-            defer.ensureDeferred(self._poll_engine_load())
+            self._supervisor.run("poll engine", self._poll_engine_load)
 
     def on_tick(self) -> None:
         """Refuses expired requests, starts queued ones, checks leave notices.
--- a/libs/godwitdale/src/godwitdale/claim_store.py
+++ b/libs/godwitdale/src/godwitdale/claim_store.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -12,6 +11,7 @@
 from godwitdale_claims import ledger as ledger_lib
 from godwitdale_claims import records
 from godwitdale_platform import log as log_lib
+from godwitdale_verdicts import decoding
 from godwitdale_verdicts import exceptions
 
 _MAX_EVENTS_PER_BATCH = 500
@@ -291,7 +291,7 @@
         for record in await log_lib.read_all(self._log, self._stream, start):
             try:
                 events = records.decode(record.data)
-            except msgspec.MsgspecError:
+            except decoding.InvalidDataError:
                 events = []
             self.claimant.ledger.fold_record(
                 record.offset, record.appended_at_s, events
--- a/libs/godwitdale/src/godwitdale/classification.py
+++ b/libs/godwitdale/src/godwitdale/classification.py
@@ -14,6 +14,7 @@
 from godwitdale_link import messages
 from godwitdale_platform import endpoint_client
 from godwitdale_routing import prefixes
+from godwitdale_verdicts import decoding
 from godwitdale_verdicts import outcomes
 
 CHAT_PATH = "/v1/chat/completions"
@@ -42,7 +43,7 @@
     stream: bool = False
 
 
-_chat_decoder = msgspec.json.Decoder(_Chat)
+_chat_decoder = decoding.json_decoder(_Chat)
 
 
 class RefusedError(Exception):
@@ -133,7 +134,7 @@
         raise refusal_error(outcomes.Reason.BAD_REQUEST, "use POST")
     try:
         chat = _chat_decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except decoding.InvalidDataError as error:
         raise refusal_error(
             outcomes.Reason.BAD_REQUEST, f"the body is not a chat: {error}"
         ) from error
--- a/libs/godwitdale/src/godwitdale/daemon.py
+++ b/libs/godwitdale/src/godwitdale/daemon.py
@@ -3,19 +3,18 @@
 import random
 from typing import Any
 
-from twisted.internet import defer
-from twisted.internet import task
-
 from godwitdale import admin
 from godwitdale import feed as feed_lib
 from godwitdale import membership as membership_lib
 from godwitdale import settings as settings_lib
 from godwitdale import tls
 from godwitdale_observe import histograms
+from godwitdale_observe import logs
 from godwitdale_observe import metrics as metrics_lib
 from godwitdale_platform import instances as instances_lib
 from godwitdale_platform import log as log_lib
 from godwitdale_process import lifecycle
+from godwitdale_process import supervision
 from godwitdale_verdicts import identifiers
 
 
@@ -79,8 +78,9 @@
         self.lifecycle = lifecycle.LifeCycle(
             self, reactor, settings.drain_limit_s, reactor.stop
         )
-        self._tick_loop = task.LoopingCall(self._run_periodic_work)
-        self._tick_loop.clock = reactor
+        self._supervisor = supervision.Supervisor(
+            reactor, self._rng, logs.EventLog()
+        )
         self._listening_ports: list[Any] = []
 
     def start(self) -> None:
@@ -98,13 +98,15 @@
         self._listening_ports = [main_port, admin_port]
         self.port = main_port.getHost().port
         self.admin_port = admin_port.getHost().port
-        defer.ensureDeferred(self._feed.run())
-        defer.ensureDeferred(self._membership.run())
-        self._tick_loop.start(self.TICK_INTERVAL_S)
+        self._supervisor.run("follow declarations", self._feed.run)
+        self._supervisor.run("follow instances", self._membership.run)
+        self._supervisor.call_every(
+            "periodic work", self.TICK_INTERVAL_S, self._run_periodic_work
+        )
 
     def close(self) -> None:
         """Closes the sockets and stops the background tasks."""
-        self._tick_loop.stop()
+        self._supervisor.stop()
         self._feed.stop()
         self._membership.stop()
         for port in self._listening_ports:
--- a/libs/godwitdale/src/godwitdale/feed.py
+++ b/libs/godwitdale/src/godwitdale/feed.py
@@ -9,7 +9,6 @@
 import random
 from typing import Any
 
-import msgspec
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -203,13 +202,13 @@
 
     def _adopt_snapshot(self, encoded_parts: list[bytes]) -> None:
         parts = []
-        for data in encoded_parts:
-            record = records.decode(data)
-            if isinstance(record, records.SnapshotPart):
-                parts.append(record)
         try:
+            for data in encoded_parts:
+                record = records.decode(data)
+                if isinstance(record, records.SnapshotPart):
+                    parts.append(record)
             self.fold.adopt(parts)
-        except (ValueError, msgspec.MsgspecError) as error:
+        except ValueError as error:
             self._events.warning("snapshot refused", reason=str(error))
 
     def _record_progress(self) -> None:
--- a/libs/link/src/godwitdale_link/framing.py
+++ b/libs/link/src/godwitdale_link/framing.py
@@ -8,6 +8,7 @@
 from twisted.internet import protocol
 
 from godwitdale_link import messages
+from godwitdale_verdicts import decoding
 
 _LENGTH_PREFIX = struct.Struct("!I")
 
@@ -23,7 +24,7 @@
         sent_bytes: Number of bytes sent.
     """
 
-    decoder: msgspec.msgpack.Decoder[Any]
+    decoder: decoding.Decoder[Any]
 
     def __init__(self) -> None:
         """Creates a protocol with an empty receive buffer."""
@@ -62,7 +63,7 @@
         self._buffer += data
         try:
             self._read_messages()
-        except (msgspec.MsgspecError, ValueError) as error:
+        except ValueError as error:
             self.discard_input()
             self.on_protocol_error(str(error))
             self.abort()
--- a/libs/link/src/godwitdale_link/messages.py
+++ b/libs/link/src/godwitdale_link/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from godwitdale_verdicts import decoding
 from godwitdale_verdicts import identifiers
 
 PROTOCOL_VERSION = 1
@@ -344,9 +345,9 @@
 )
 
 encoder = msgspec.msgpack.Encoder()
-entry_message_decoder: msgspec.msgpack.Decoder[EntryMessage] = (
-    msgspec.msgpack.Decoder(EntryMessage)
+entry_message_decoder: decoding.Decoder[EntryMessage] = (
+    decoding.msgpack_decoder(EntryMessage)
 )
-agent_message_decoder: msgspec.msgpack.Decoder[AgentMessage] = (
-    msgspec.msgpack.Decoder(AgentMessage)
+agent_message_decoder: decoding.Decoder[AgentMessage] = (
+    decoding.msgpack_decoder(AgentMessage)
 )
--- a/libs/platform/src/godwitdale_platform/instances.py
+++ b/libs/platform/src/godwitdale_platform/instances.py
@@ -11,6 +11,7 @@
 import msgspec
 import treq
 
+from godwitdale_verdicts import decoding
 from godwitdale_verdicts import exceptions
 
 _OK = 200
@@ -42,7 +43,7 @@
     endpoint: str = ""
 
 
-_decoder = msgspec.json.Decoder(list[Instance])
+_decoder = decoding.json_decoder(list[Instance])
 
 
 class HttpInstanceList:
--- a/libs/platform/src/godwitdale_platform/log.py
+++ b/libs/platform/src/godwitdale_platform/log.py
@@ -16,6 +16,7 @@
 from twisted.web import client
 from twisted.web import iweb
 
+from godwitdale_verdicts import decoding
 from godwitdale_verdicts import exceptions
 
 _CREATED = 201
@@ -97,11 +98,14 @@
         """Reads the records of a stream from an offset on."""
 
 
-_page_decoder = msgspec.json.Decoder(Page)
+_page_decoder = decoding.json_decoder(Page)
 
 
 class _AppendResponse(msgspec.Struct):
-    offset: int
+    offset: decoding.Serial
+
+
+_append_decoder = decoding.json_decoder(_AppendResponse)
 
 
 class HttpLog:
@@ -153,9 +157,10 @@
         self, response: iweb.IResponse, body: bytes
     ) -> AppendOutcome:
         if response.code == _CREATED:
-            return Appended(
-                msgspec.json.decode(body, type=_AppendResponse).offset
-            )
+            try:
+                return Appended(_append_decoder.decode(body).offset)
+            except decoding.InvalidDataError as cause:
+                return AppendUnknown(f"the log returned no offset: {cause}")
         if response.code in (429, 503):
             return NotAppended(f"the log returned status {response.code}")
         return AppendUnknown(f"the log returned status {response.code}")
@@ -193,7 +198,12 @@
             raise exceptions.PlatformUnavailableError(
                 f"the log returned status {response.code}"
             )
-        return _page_decoder.decode(body)
+        try:
+            return _page_decoder.decode(body)
+        except decoding.InvalidDataError as cause:
+            raise exceptions.PlatformUnavailableError(
+                f"the log returned no page: {cause}"
+            ) from cause
 
 
 async def read_all(log: Log, stream: str, start: int) -> list[Record]:
--- a/libs/routing/src/godwitdale_routing/routes.py
+++ b/libs/routing/src/godwitdale_routing/routes.py
@@ -65,10 +65,15 @@
     is_resumable: bool = False
     start_timeout_s: float | None = None
 
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answers are streams of events."""
+        return self.kind is Kind.STREAM
+
     @property
     def is_repeatable(self) -> bool:
         """Whether it is harmless to run a request twice."""
-        if self.kind is Kind.STREAM:
+        if self.is_stream:
             return self.is_resumable
         return self.kind is Kind.IDEMPOTENT
 
--- a/tests/scheduling.py
+++ b/tests/scheduling.py
@@ -4,8 +4,8 @@
 
 from godwitdale_gateway import directory as directory_lib
 from godwitdale_gateway import iteration_groups
-from godwitdale_gateway import limit_sharing
 from godwitdale_gateway import scheduler
+from godwitdale_gateway import statement_sharing
 from godwitdale_http import pool
 from godwitdale_observe import logs
 from godwitdale_routing import choice
@@ -56,7 +56,7 @@
         self.peer_loads = peer_load.PeerLoads()
         rng = random.Random(1)
         self.members = iteration_groups.GroupMembers()
-        self.limit_sharing = limit_sharing.LimitSharing(
+        self.statement_sharing = statement_sharing.StatementSharing(
             self.directory,
             self.announce_limits,
             lambda service: self.scheduler.assign_waiting(service),
@@ -66,7 +66,7 @@
         self.scheduler = scheduler.Scheduler(
             self.directory,
             self.members,
-            self.limit_sharing,
+            self.statement_sharing,
             self.peer_loads,
             choice.LeastLoaded(rng),
             self.connected.__contains__,
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -53,6 +53,7 @@
         self.settled = []
         self.sent_count = 0
         self.received_limits = []
+        self.received_leaving = {}
         self.ended_peers = []
         self.peer_loads = peer_load.PeerLoads()
         self.members = iteration_groups.GroupMembers()
@@ -82,6 +83,12 @@
     def on_report(self, peer, reports):
         self.received_limits.append((peer, reports))
 
+    def leaving_report(self, endpoint_ids):
+        return dict.fromkeys(endpoint_ids, 20)
+
+    def on_leaving_report(self, peer, ages_ms):
+        self.received_leaving.update(ages_ms)
+
     def on_peer_end(self, peer):
         self.ended_peers.append(peer)
 
@@ -353,7 +360,9 @@
     """Guards against requests that are not counted against a limit."""
     entries = connect(network, *"abcdefgh")
     entries[0].sent_count = 3
-    entries[0].peers.report_limits([f"i-{number:010d}" for number in range(60)])
+    entries[0].peers.report_statements(
+        [f"i-{number:010d}" for number in range(60)]
+    )
     network.run(0.02, step_s=0.01)
     for other in entries[1:]:
         received = {}
@@ -362,6 +371,7 @@
             received.update(limits)
         assert len(received) == 60
         assert received["i-0000000059"] == (1.5, 100, 3)
+        assert other.received_leaving["i-0000000059"] == 20
     assert all(
         len(data) <= peer_messages.MAX_DATAGRAM_BYTES
         for _, _, data in network.sent
--- a/tests/unit/test_scheduler.py
+++ b/tests/unit/test_scheduler.py
@@ -176,7 +176,7 @@
 
 def test_request_goes_to_an_endpoint_without_a_rate_limit(clock):
     entry = scheduling.Entry(clock)
-    entry.limit_sharing.on_stated("e0", 1.0)
+    entry.statement_sharing.on_stated("e0", 1.0)
     names = {entry.submit().record.endpoint.id for _ in range(4)}
     assert names == {"e1"}
 
@@ -184,7 +184,7 @@
 def test_request_that_a_rate_limit_allows_in_time_waits_for_it(clock):
     entry = scheduling.Entry(clock, endpoints=1)
     entry.scheduler.service_times(scheduling.SERVICE).total_s = 0.1
-    entry.limit_sharing.on_stated("e0", 5.0)
+    entry.statement_sharing.on_stated("e0", 5.0)
     request = entry.submit()
     assert request.record is None and request.refusal is None
     clock.pump([0.01] * 21)
@@ -195,7 +195,7 @@
     """Guards against callers that wait for a refusal until their objective."""
     entry = scheduling.Entry(clock, endpoints=1)
     entry.scheduler.service_times(scheduling.SERVICE).total_s = 0.1
-    entry.limit_sharing.on_stated("e0", 1.0)
+    entry.statement_sharing.on_stated("e0", 1.0)
     refusal = entry.submit().refusal
     assert refusal.reason is outcomes.Reason.OVERLOADED
     assert refusal.retry_after_s >= 1.0
@@ -204,17 +204,53 @@
 def test_end_of_a_rate_limit_admits_waiting_requests(clock):
     entry = scheduling.Entry(clock, endpoints=1)
     entry.scheduler.service_times(scheduling.SERVICE).total_s = 0.1
-    entry.limit_sharing.on_stated("e0", 5.0)
+    entry.statement_sharing.on_stated("e0", 5.0)
     request = entry.submit()
-    entry.limit_sharing.on_not_stated("e0")
+    entry.statement_sharing.on_not_stated("e0")
     assert request.record is not None
 
 
 def test_assigned_request_counts_before_it_is_sent(clock):
     entry = scheduling.Entry(clock, endpoints=2)
     for name in ("e0", "e1"):
-        entry.limit_sharing.on_stated(name, 1.0)
+        entry.statement_sharing.on_stated(name, 1.0)
     clock.advance(1.0)
     assert entry.submit().record is not None
     assert entry.submit().record is not None
     assert entry.submit().record is None
+
+
+def test_endpoint_in_a_pause_gets_no_requests(clock):
+    entry = scheduling.Entry(clock)
+    entry.statement_sharing.on_pause("e0", 2.0)
+    names = {entry.submit().record.endpoint.id for _ in range(4)}
+    assert names == {"e1"}
+
+
+def test_service_in_a_pause_refuses_at_once_until_there_is_room(clock):
+    """Guards against callers that wait for endpoints that refuse everything."""
+    entry = scheduling.Entry(clock)
+    entry.statement_sharing.on_pause("e0", 3.0)
+    entry.statement_sharing.on_pause("e1", 1.5)
+    refusal = entry.submit().refusal
+    assert refusal.reason is outcomes.Reason.OVERLOADED
+    assert 1.5 < refusal.retry_after_s <= 1.5 + 2 * 0.3
+
+
+def test_one_request_is_tried_after_a_pause(clock):
+    entry = scheduling.Entry(clock, endpoints=1)
+    entry.scheduler.service_times(scheduling.SERVICE).total_s = 0.2
+    entry.statement_sharing.on_pause("e0", 1.0)
+    clock.advance(1.0)
+    first, second = entry.submit(), entry.submit()
+    assert first.record is not None and second.record is None
+    entry.statement_sharing.on_run("e0")
+    entry.scheduler.release(first.record)
+    assert second.record is not None
+
+
+def test_endpoint_that_leaves_gets_no_requests(clock):
+    entry = scheduling.Entry(clock)
+    entry.directory.mark_leaving("e0", clock.seconds())
+    names = {entry.submit().record.endpoint.id for _ in range(4)}
+    assert names == {"e1"}
--- a/tests/unit/test_limit_sharing.py
+++ b/tests/unit/test_statement_sharing.py
@@ -1,10 +1,10 @@
-"""Tests of entries that tell each other the rate limits of endpoints."""
+"""Tests of entries that tell each other what endpoints state."""
 
 import pytest
 from twisted.internet import task
 
 from godwitdale_gateway import directory as directory_lib
-from godwitdale_gateway import limit_sharing
+from godwitdale_gateway import statement_sharing
 from godwitdale_http import pool
 from godwitdale_observe import logs
 
@@ -17,14 +17,14 @@
     def __init__(self, clock):
         self.announced = []
         self.changed_services = []
-        directory = directory_lib.Directory(lambda _: None)
+        self.directory = directory_lib.Directory(lambda _: None)
         for name in ENDPOINTS:
             address = pool.Address("127.0.0.1", 1)
-            directory.put(
+            self.directory.put(
                 directory_lib.Endpoint(name, "llm", address, "z", 4, False), 0.0
             )
-        self.sharing = limit_sharing.LimitSharing(
-            directory,
+        self.sharing = statement_sharing.StatementSharing(
+            self.directory,
             self.announced.append,
             self.changed_services.append,
             clock,
@@ -36,6 +36,8 @@
         for endpoint_ids in self.announced:
             report = self.sharing.report(endpoint_ids)
             other.sharing.on_report("entry", report)
+            leaving = self.sharing.leaving_report(endpoint_ids)
+            other.sharing.on_leaving_report("entry", leaving)
         self.announced.clear()
 
 
@@ -84,3 +86,47 @@
         assert len(first.announced[-1]) <= 4
     first.send_to(second)
     assert all(second.sharing.limits.limit(name) for name in ENDPOINTS)
+
+
+def test_endpoint_that_leaves_is_reported_to_the_other_entry(entries, clock):
+    first, second = entries
+    clock.advance(1.0)
+    first.sharing.on_leaving(first.directory.get("e00"))
+    clock.advance(0.5)
+    first.send_to(second)
+    listed = [each.endpoint.id for each in second.directory.of_service("llm")]
+    assert "e00" not in listed and "e01" in listed
+    second.sharing.tick()
+    assert second.announced == [["e00"]]
+
+
+def test_answer_of_an_ended_incarnation_does_not_take_the_next_one_out(
+    entries,
+):
+    first, _ = entries
+    record = first.directory.get("e00")
+    first.directory.remove("e00")
+    first.directory.put(record.endpoint, 1.0)
+    first.sharing.on_leaving(record)
+    assert first.announced == []
+
+
+def test_pause_is_kept_to_this_entry(entries):
+    first, second = entries
+    first.sharing.on_pause("e00", 2.0)
+    first.sharing.tick()
+    assert first.announced == []
+    assert first.sharing.room("e00", 0.1) == 0
+    assert second.sharing.room("e00", 0.1) is None
+
+
+def test_room_is_the_least_that_limit_and_pause_allow(entries, clock):
+    first, _ = entries
+    first.sharing.on_stated("e00", 5.0)
+    clock.advance(1.0)
+    assert first.sharing.room("e00", 1.0) == 5
+    first.sharing.on_pause("e00", 1.0)
+    assert first.sharing.room("e00", 1.5) == 0
+    assert first.sharing.concurrency("e00", 4, 1.0, 1.5) == 0.0
+    clock.advance(1.0)
+    assert first.sharing.room("e00", 2.0) == 1
