Keep the calls to the store from growing with entries times endpoints

Each new record ends the poll of every entry. In steady state all entries read the configuration at the same moment, every 4 s, because its age reaches the same threshold everywhere: the polls that ended in between were spread by the time to apply a configuration (4 s), not by the age that is allowed for keys (5 s), and were confirmed to others too late.

Change: records that come within 0.3 s of a read share the next one; a single record is read as soon as before. The oldest entry reads the store at 0.3 of the allowed age, the next one at 0.4, the others at 0.5, so that they find a confirmed copy at another entry.

--- a/libs/gateway/src/godwitdale_gateway/topic_follower.py
+++ b/libs/gateway/src/godwitdale_gateway/topic_follower.py
@@ -17,6 +17,10 @@
 # noticed well before the deadline by which it has to be in force.
 _BACKOFF_BASE_S = 0.1
 _MAX_BACKOFF_S = 0.8
+# Delay of the next poll after one that returned records. A new record ends the
+# polls of all entries, so that many records in a short time would cost a read
+# for each record and each entry; those that come within the delay share one.
+_COLLECT_S = 0.3
 # Minimum time between two interrupted polls.
 _MIN_INTERRUPT_INTERVAL_S = 0.4
 
@@ -160,6 +164,7 @@
         self._failures = 0
         self._is_stopped = False
         self._last_poll_ended_early = True
+        self._collects_records = False
         self._is_interrupted = False
         self._interrupted_s = 0.0
         self._read_started_s = 0.0
@@ -238,6 +243,8 @@
                 await task.deferLater(self._reactor, delay_s)
             else:
                 self._record_success()
+                if self._collects_records:
+                    await task.deferLater(self._reactor, _COLLECT_S)
 
     def stop(self) -> None:
         """Makes ``run`` return after the call in progress."""
@@ -245,6 +252,7 @@
 
     async def _read_once(self) -> None:
         requested_s = self._reactor.seconds()
+        self._collects_records = False
         if self._next_offset is None or self._is_snapshot_shorter():
             self._was_snapshot_read = True
             await self._read_snapshot(requested_s)
@@ -281,6 +289,8 @@
         # early end, like new records: the timeouts of the next polls are
         # staggered again.
         self._last_poll_ended_early = bool(next_page.records) or was_interrupted
+        has_all = next_page.end <= next_page.next_offset
+        self._collects_records = bool(next_page.records) and has_all
         self._apply_page(
             next_page, requested_s + wait_s if has_timed_out else requested_s
         )
--- a/libs/routing/src/godwitdale_routing/freshness.py
+++ b/libs/routing/src/godwitdale_routing/freshness.py
@@ -6,10 +6,14 @@
 is too long ago.
 """
 
-# Shares of the bound after which the entry asks another entry to confirm the
-# copy, and after which it asks the store.
+# Share of the bound after which the entry asks another entry to confirm the
+# copy.
 _PEER_QUERY_SHARE = 0.35
-_STORE_READ_SHARE = 0.5
+# Shares of the bound after which the entry asks the store: the oldest entry
+# first, so that the others can ask it instead, and the next one if it fails.
+_FIRST_STORE_READ_SHARE = 0.3
+_STORE_READ_SHARE_STEP = 0.1
+_MAX_STORE_READ_SHARE = 0.5
 # Share of the bound after which new callers should use another entry. If the
 # copy has become this old, neither the other entries nor the store have
 # confirmed it in time, and keys will soon be refused.
@@ -65,9 +69,22 @@
         """Returns whether it is time to ask another entry."""
         return self.age_s(now_s) > self._bound_s * _PEER_QUERY_SHARE
 
-    def should_read_store(self, now_s: float) -> bool:
-        """Returns whether it is time to ask the store."""
-        return self.age_s(now_s) > self._bound_s * _STORE_READ_SHARE
+    def should_read_store(self, now_s: float, index: int) -> bool:
+        """Returns whether it is time to ask the store.
+
+        Load pattern: a fleet of entries whose copies were confirmed at the same
+        time. If all of them asked the store when that is too long ago, the
+        calls would grow with their number.
+
+        Args:
+            now_s: The current time.
+            index: Index of this entry among the live entries, from 0.
+        """
+        share = min(
+            _MAX_STORE_READ_SHARE,
+            _FIRST_STORE_READ_SHARE + _STORE_READ_SHARE_STEP * index,
+        )
+        return self.age_s(now_s) > self._bound_s * share
 
     def is_ready(self, now_s: float) -> bool:
         """Returns whether the entry should accept new callers."""
--- a/tests/unit/test_topic_follower.py
+++ b/tests/unit/test_topic_follower.py
@@ -83,6 +83,7 @@
 def test_records_that_were_read_are_taken_back_by_an_older_snapshot(harness):
     harness.topic.answer_snapshot(offset=5)
     harness.topic.answer_read(RECORD)
+    harness.clock.advance(0.3)
     harness.topic.forget_history()
     pages = list(harness.copy.pages)
     harness.topic.answer_snapshot(offset=5)
@@ -126,3 +127,28 @@
     count = len(harness.topic.reads)
     harness.follower.interrupt()
     assert len(harness.topic.reads) == count
+
+
+def test_records_in_quick_succession_share_reads(harness):
+    """Guards against reads that grow with entries times endpoints.
+
+    Replays the start of a fleet, in which all endpoints write their records
+    within two seconds.
+    """
+    harness.topic.answer_snapshot()
+    for _ in range(200):
+        if harness.topic.reads[-1][2].called:
+            harness.clock.advance(0.01)
+            continue
+        harness.topic.answer_read(RECORD)
+        harness.clock.advance(0.01)
+    assert len(harness.topic.reads) <= 2 / 0.3 + 2
+
+
+def test_single_record_is_read_without_a_delay(harness):
+    harness.topic.answer_snapshot()
+    harness.clock.advance(1.0)
+    harness.topic.answer_read(RECORD)
+    assert len(harness.copy.pages) == 2
+    harness.clock.advance(0.3)
+    assert len(harness.topic.reads) == 2
