Wait for a trial without timers, and remember leaving without a record

Found when the change was read. An answer that says that its endpoint leaves was ignored while the store had lost the record, so that the endpoint got a request after its record was back.

--- a/libs/gateway/src/godwitdale_gateway/directory.py
+++ b/libs/gateway/src/godwitdale_gateway/directory.py
@@ -152,27 +152,27 @@
         leaving = self._leaving.get(endpoint_id)
         return None if leaving is None else leaving.since_s
 
-    def mark_leaving(self, endpoint_id: str, since_s: float) -> bool:
+    def mark_leaving(self, endpoint: Endpoint, since_s: float) -> bool:
         """Takes an endpoint that has stated to leave out of service.
 
         Args:
-            endpoint_id: Id of the endpoint.
+            endpoint: The endpoint, which need not be listed at present.
             since_s: When it has stated that.
 
         Returns:
-            Whether this is new. It is not if the endpoint is unknown, or if
-            its present incarnation was not yet listed at that time.
+            Whether this is new. It is not if the listed incarnation was not
+            yet known at that time.
         """
-        record = self._records.get(endpoint_id)
-        if record is None or endpoint_id in self._leaving:
+        record = self._records.get(endpoint.id)
+        if endpoint.id in self._leaving:
             return False
-        if since_s < record.listed_s:
+        if record is not None and since_s < record.listed_s:
             return False
         self.generation += 1
-        self._leaving[endpoint_id] = _Leaving(record.endpoint, since_s)
+        self._leaving[endpoint.id] = _Leaving(endpoint, since_s)
         if len(self._leaving) > _MAX_LEAVING:
             del self._leaving[next(iter(self._leaving))]
-        self._on_out_of_service(endpoint_id)
+        self._on_out_of_service(endpoint.id)
         return True
 
     def put(self, endpoint: Endpoint, now_s: float) -> None:
--- a/libs/gateway/src/godwitdale_gateway/scheduler.py
+++ b/libs/gateway/src/godwitdale_gateway/scheduler.py
@@ -404,10 +404,12 @@
             return
         now_s = self._reactor.seconds()
         statements = self._statement_sharing
+        # Without a time, the end of a request makes room, not a timer.
         waits_s = [
-            statements.wait_s(record.endpoint.id, now_s)
+            wait_s
             for record in self._directory.of_service(service)
             if statements.room(record.endpoint.id, now_s) == 0
+            and (wait_s := statements.wait_s(record.endpoint.id, now_s)) > 0
         ]
         if waits_s:
             state.room_timer = self._reactor.callLater(
--- a/libs/gateway/src/godwitdale_gateway/statement_sharing.py
+++ b/libs/gateway/src/godwitdale_gateway/statement_sharing.py
@@ -79,9 +79,10 @@
             record: The endpoint that was asked.
         """
         endpoint = record.endpoint
-        if self._directory.get(endpoint.id) is not record:
+        listed = self._directory.get(endpoint.id)
+        if listed is not None and listed is not record:
             return  # Another incarnation has taken its place.
-        if self._directory.mark_leaving(endpoint.id, self._clock.seconds()):
+        if self._directory.mark_leaving(endpoint, self._clock.seconds()):
             self._log.info("endpoint_leaving", endpoint=endpoint.id, peer=None)
             self._announce([endpoint.id])
 
@@ -197,7 +198,11 @@
         """
         now_s = self._clock.seconds()
         for endpoint_id, age_ms in ages_ms.items():
-            if self._directory.mark_leaving(endpoint_id, now_s - age_ms / 1000):
+            record = self._directory.get(endpoint_id)
+            if record is None:
+                continue
+            since_s = now_s - age_ms / 1000
+            if self._directory.mark_leaving(record.endpoint, since_s):
                 self._log.info(
                     "endpoint_leaving", endpoint=endpoint_id, peer=peer
                 )
