--- a/libs/gateway/src/godwitdale_gateway/statement_sharing.py
+++ b/libs/gateway/src/godwitdale_gateway/statement_sharing.py
@@ -44,7 +44,8 @@
 
         Args:
             directory: The endpoints.
-            announce: Reports the limits of some endpoints to the other entries.
+            announce: Reports what some endpoints have stated to the other
+                entries.
             on_change: Called with the name of a service when the limit of one
                 of its endpoints has changed.
             clock: A Twisted ``IReactorTime``.
