--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -90,7 +90,7 @@
             if headers.get("godwitdale-prompt-prefix"):
                 await self._stream(headers, writer)
             else:
-                await self._plain(headers, writer)
+                await self._plain(target, headers, writer)
         finally:
             self._free.release()
 
@@ -100,13 +100,14 @@
         tell("run", request, run=run)
         return run
 
-    async def _plain(self, headers, writer):
+    async def _plain(self, target, headers, writer):
+        """Answers with as many bytes as the last part of the path says."""
         request = headers["godwitdale-request-id"]
         run = self._begin(request)
         await asyncio.sleep(PREFILL_S)
-        body = json.dumps(
-            {"run": run, "id": request, "tenant": headers.get("godwitdale-tenant")}
-        ).encode()
+        size = target.rpartition("/")[2]
+        body = f"{run} {request} {headers.get('godwitdale-tenant')} ".encode()
+        body += b"x" * ((int(size) if size.isdigit() else 0) - len(body))
         writer.write(
             http1.format_answer(
                 200,
