--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -159,6 +159,7 @@
     """An entry process, started with the command of the deploy file."""
 
     def __init__(self, deployment, number, store_address=None, **bounds):
+        self.number = number
         self.name = f"edge-kb-a-{number}"
         self.frontend = free_port()
         self.readiness = free_port()
