--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -104,14 +104,14 @@
 class Runner:
     """A runner process and its entry in the store."""
 
-    def __init__(self, deployment, name, service, slots, pass_ms, prefill_ms):
+    def __init__(self, deployment, name, service, slots, *times):
         self.id = name
         self.service = service
         self.slots = slots
         self.address = ""
         self.process = None
         self._deployment = deployment
-        self._args = (name, service, slots, pass_ms, prefill_ms)
+        self._args = (name, service, slots, *times)
         self._born_ms = 0
         self._sequence = 0
 
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -1,6 +1,6 @@
 """A runner: a process that serves streams or plain requests.
 
-Usage: runner.py ID SERVICE SLOTS PASS_MS PREFILL_MS
+Usage: runner.py ID SERVICE SLOTS PASS_MS PREFILL_MS [FIRST_EVENT_ID]
 
 It prints its port first, then a line of JSON for each request that arrives or
 begins to run. Events of all its streams are made in passes, which begin at the
@@ -21,6 +21,7 @@
 SLOTS = int(sys.argv[3])
 PASS_S = int(sys.argv[4]) / 1000
 PREFILL_S = int(sys.argv[5]) / 1000
+FIRST_EVENT_ID = int(sys.argv[6]) if len(sys.argv) > 6 else 1
 QUEUE = 4
 
 
@@ -94,10 +95,10 @@
         finally:
             self._free.release()
 
-    def _begin(self, request):
+    def _begin(self, request, **fields):
         self._runs += 1
         run = f"{ID}.{self._runs}"
-        tell("run", request, run=run)
+        tell("run", request, run=run, **fields)
         return run
 
     async def _plain(self, target, headers, writer):
@@ -124,10 +125,11 @@
     async def _stream(self, headers, writer):
         request = headers["godwitdale-request-id"]
         count = int(headers["godwitdale-token-usage"].split(",")[1]) // 5
-        first = int(headers.get("last-event-id", "0")) + 1
+        last_id = int(headers.get("last-event-id", FIRST_EVENT_ID - 1))
+        first = last_id + 2 - FIRST_EVENT_ID
         await asyncio.sleep(PREFILL_S)
         await _next_pass()
-        run = self._begin(request)
+        run = self._begin(request, first=first)
         writer.write(
             http1.format_head(
                 "HTTP/1.1 200 OK",
@@ -140,7 +142,8 @@
             )
         )
         for number in range(first, count + 1):
-            event = f"id: {number}\ndata: {run} {request}\n\n".encode()
+            event_id = FIRST_EVENT_ID + number - 1
+            event = f"id: {event_id}\ndata: {run} {request}\n\n".encode()
             writer.write(http1.format_chunk(event))
             await writer.drain()
             if number < count:
