--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -47,16 +48,24 @@
 
 def free_port():
     """Returns a port below the range from which the system assigns ports."""
-    for port in range(20000 + os.getpid() * 41 % 300 * 40, 32700):
-        if port in _used_ports:
-            continue
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((HOST, port))
+    for _ in range(1000):
+        port = random.randrange(20000, 32700)
+        if port not in _used_ports and _is_free(port):
             _used_ports.add(port)
             return port
     raise OSError("no free port")
 
 
+def _is_free(port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                return False
+    return True
+
+
 def route(path, kind, service, **fields):
     return {
         "name": "r" + path.replace("/", "-"),
