--- a/review/2/run.py
+++ b/review/2/run.py
@@ -9,7 +9,7 @@
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "standins"))
+sys.path.insert(0, str(HERE.parent))
 import client as client_lib  # noqa: E402
 import deployment as deployment_lib  # noqa: E402
 
--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -15,7 +15,7 @@
 import store as store_lib
 
 HOST = "127.0.0.1"
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HOSTNAME = "shop.example"
 KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
@@ -128,7 +128,7 @@
         self._born_ms = int(time.time() * 1000)
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
-            str(ROOT / "review" / "standins" / "runner.py"),
+            str(ROOT / "review" / "runner.py"),
             *map(str, self._args),
             stdout=asyncio.subprocess.PIPE,
         )
