Assign each waiting request once when slots are returned meanwhile

Cause: Scheduler.assign_waiting worked through a copy of the wait queue and called each request it assigned. A request with a suspected part returns its slot during that call, which entered assign_waiting again; the inner run assigned the requests behind it and the outer one assigned them once more.

Change: a nested call demands another pass, and each pass looks whether a request still waits.

--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -219,6 +219,16 @@
             self._release_endpoint()
             self._refuse(refusal)
             return
+        if self.tried_endpoints:
+            self._context.log.info(
+                "attempt_repeated",
+                request=self._request.headers.request_id_text,
+                endpoint=record.endpoint.id,
+                previous=self._last_endpoint_id,
+                attempts=self._attempt_count,
+                may_have_run=self._earlier_may_have_run,
+                left_s=round(self._time_left_s(), 3),
+            )
         self.tried_endpoints.add(record.endpoint.id)
         self._last_endpoint_id = record.endpoint.id
         self._event_count = 0
@@ -517,6 +527,7 @@
             "answered",
             request=request.headers.request_id_text,
             route=request.route.name,
+            endpoint=self._last_endpoint_id,
             attempts=self._attempt_count,
             waited_s=round(times.queue_time_s, 3),
             first_s=round(times.time_to_first_part_s, 3),
--- a/libs/gateway/src/godwitdale_gateway/scheduler.py
+++ b/libs/gateway/src/godwitdale_gateway/scheduler.py
@@ -116,6 +116,8 @@
             of entries for which ``homes`` was computed.
         room_timer: Pending call at the time at which a rate limit allows the
             next request, or None.
+        is_assigning: Whether waiting requests are being assigned.
+        must_assign_again: Whether a slot may have become free meanwhile.
     """
 
     times: wait_queue.ServiceTimes
@@ -132,6 +134,8 @@
     homes: frozenset[str] = frozenset()
     homes_basis: tuple[int, int, int] | None = None
     room_timer: Any = None
+    is_assigning: bool = False
+    must_assign_again: bool = False
 
 
 class Scheduler:
@@ -377,14 +381,37 @@
         self.assign_waiting(record.endpoint.service)
 
     def assign_waiting(self, service: str) -> None:
-        """Assigns waiting requests of a service to free slots."""
+        """Assigns waiting requests of a service to free slots.
+
+        A request may return its slot before ``on_assigned`` returns, which
+        calls this method again. The inner call only demands another pass, so
+        that all passes assign requests in one order.
+
+        Args:
+            service: Name of the service.
+        """
         state = self._states.get(service)
         if state is None or not len(state.queue):
             return
+        state.must_assign_again = True
+        if state.is_assigning:
+            return
+        state.is_assigning = True
+        try:
+            while state.must_assign_again:
+                state.must_assign_again = False
+                self._assign_in_order(state)
+        finally:
+            state.is_assigning = False
+
+    def _assign_in_order(self, state: _ServiceState) -> None:
+        """Goes through the wait queue once, the most urgent request first."""
         now_s = self._reactor.seconds()
         for urgency, request in state.queue.sorted_by_urgency(
             state.times, now_s
         ):
+            if request not in state.queue:
+                continue  # Withdrawn while another request was assigned.
             permits = self._free_permits(request.placement, now_s)
             if not self._is_next_in_line(request, urgency, permits, now_s):
                 return
--- a/libs/routing/src/godwitdale_routing/wait_queue.py
+++ b/libs/routing/src/godwitdale_routing/wait_queue.py
@@ -193,6 +193,9 @@
     def __len__(self) -> int:
         return len(self._params)
 
+    def __contains__(self, item: Item) -> bool:
+        return item in self._params
+
     def add(self, item: Item, params: SchedulingParams) -> None:
         """Adds a request."""
         self._params[item] = params
--- a/tests/scheduling.py
+++ b/tests/scheduling.py
@@ -26,7 +26,12 @@
 
 
 class PendingRequest:
-    """A request that records its assignment or refusal."""
+    """A request that records its assignments or its refusal.
+
+    Attributes:
+        record: The endpoint that it was last assigned to, or None.
+        assignments: All endpoints that it was assigned to, in order.
+    """
 
     def __init__(self, clock, prompt_tokens=800):
         now_s = clock.seconds()
@@ -35,15 +40,36 @@
         self.placement = scheduler.PlacementRequest(SERVICE, params, traits)
         self.tried_endpoints = set()
         self.record = None
+        self.assignments = []
         self.refusal = None
 
     def on_assigned(self, record):
         self.record = record
+        self.assignments.append(record)
 
     def on_refused(self, refusal):
         self.refusal = refusal
 
 
+class ReturningRequest(PendingRequest):
+    """A request that gives its slot back during its assignment.
+
+    Attributes:
+        withdrawn: Requests that it withdraws at the same time.
+    """
+
+    def __init__(self, entry, withdrawn=()):
+        super().__init__(entry.clock)
+        self.withdrawn = withdrawn
+        self._scheduler = entry.scheduler
+
+    def on_assigned(self, record):
+        super().on_assigned(record)
+        for request in self.withdrawn:
+            self._scheduler.withdraw(request)
+        self._scheduler.release(record)
+
+
 class Entry:
     """One entry with its scheduler and its directory of endpoints."""
 
@@ -93,6 +119,17 @@
     def announce_limits(self, endpoint_ids):
         """Reports limits to other entries; there is none."""
 
+    def take_all_slots(self, is_taken=True):
+        """Reports that another entry has taken all slots, or freed them."""
+        in_flight = {
+            record.endpoint.id: record.endpoint.slots
+            for record in self.directory.records()
+        }
+        load = peer_load.PeerLoad(
+            1 if is_taken else 2, in_flight if is_taken else {}, {}, {}
+        )
+        self.peer_loads.update("peer", load, self.clock.seconds())
+
     def submit(self, prompt_tokens=800):
         request = PendingRequest(self.clock, prompt_tokens)
         self.scheduler.submit(request)
--- a/tests/unit/test_scheduler.py
+++ b/tests/unit/test_scheduler.py
@@ -288,3 +288,115 @@
     trial, waiting = entry.submit(), entry.submit()
     assert trial.record is not None and waiting.refusal is None
     assert len(clock.getDelayedCalls()) == 1  # That of the waiting request.
+
+
+def waiting_entry(clock, make_requests):
+    """Returns an entry at which requests wait, and these requests."""
+    entry = scheduling.Entry(clock)
+    entry.scheduler.service_times(scheduling.SERVICE).total_s = 0.1
+    entry.take_all_slots()
+    requests = make_requests(entry)
+    for request in requests:
+        entry.scheduler.submit(request)
+    assert not any(request.assignments for request in requests)
+    return entry, requests
+
+
+def test_request_behind_one_that_returns_its_slot_is_assigned_twice(clock):
+    """Guards against requests that run twice after an endpoint crashes.
+
+    Several slots become free at once, and the first request to get one finds
+    that a part of its prompt is suspected.
+    """
+    entry, requests = waiting_entry(
+        clock,
+        lambda entry: [
+            scheduling.ReturningRequest(entry),
+            *(scheduling.PendingRequest(clock) for _ in range(3)),
+        ],
+    )
+    entry.take_all_slots(is_taken=False)
+    entry.scheduler.assign_all_waiting()
+    assert [len(request.assignments) for request in requests] == [1, 1, 1, 1]
+
+
+def test_request_that_returns_its_slot_is_assigned_again(clock):
+    """Guards against two refusals on one connection of a caller."""
+    entry, requests = waiting_entry(
+        clock,
+        lambda entry: [scheduling.ReturningRequest(entry) for _ in range(4)],
+    )
+    entry.take_all_slots(is_taken=False)
+    entry.scheduler.assign_all_waiting()
+    assert [len(request.assignments) for request in requests] == [1, 1, 1, 1]
+
+
+def test_request_that_ends_while_others_are_assigned_gets_a_slot(clock):
+    """Guards against slots of requests that have ended."""
+    entry = scheduling.Entry(clock)
+    entry.scheduler.service_times(scheduling.SERVICE).total_s = 0.1
+    entry.take_all_slots()
+    ended = scheduling.PendingRequest(clock)
+    for request in (scheduling.ReturningRequest(entry, [ended]), ended):
+        entry.scheduler.submit(request)
+    entry.take_all_slots(is_taken=False)
+    entry.scheduler.assign_all_waiting()
+    assert ended.assignments == []
+    assert (
+        sum(record.stats.in_flight for record in entry.directory.records()) == 0
+    )
+
+
+def test_slot_that_is_returned_serves_a_request_that_was_passed_over(clock):
+    """Guards against requests that wait although a slot is free.
+
+    The first request in the queue has tried the only endpoint with a free slot.
+    The second one takes the slot and returns the other endpoint's.
+    """
+    entry = scheduling.Entry(clock)
+    entry.scheduler.service_times(scheduling.SERVICE).total_s = 0.1
+    running = [scheduling.PendingRequest(clock) for _ in range(8)]
+    for request in running:
+        entry.scheduler.submit(request)
+    held = next(
+        request.assignments[0]
+        for request in running
+        if request.assignments[0].endpoint.id == "e1"
+    )
+
+    class ReleasingRequest(scheduling.PendingRequest):
+        def on_assigned(self, record):
+            super().on_assigned(record)
+            entry.scheduler.release(held)
+
+    passed_over = scheduling.PendingRequest(clock)
+    passed_over.tried_endpoints.add("e0")
+    for request in (passed_over, ReleasingRequest(clock)):
+        entry.scheduler.submit(request)
+    freed = next(
+        request.assignments[0]
+        for request in running
+        if request.assignments[0].endpoint.id == "e0"
+    )
+    entry.scheduler.release(freed)
+    assert [each.endpoint.id for each in passed_over.assignments] == ["e1"]
+
+
+def test_error_of_a_request_ends_all_later_assignments(clock):
+    """Guards against a queue that is stuck after an error."""
+    entry = scheduling.Entry(clock)
+    entry.scheduler.service_times(scheduling.SERVICE).total_s = 0.1
+    entry.take_all_slots()
+
+    class FaultyRequest(scheduling.PendingRequest):
+        def on_assigned(self, record):
+            raise RuntimeError("a fault")
+
+    waiting = scheduling.PendingRequest(clock)
+    for request in (FaultyRequest(clock), waiting):
+        entry.scheduler.submit(request)
+    entry.take_all_slots(is_taken=False)
+    with pytest.raises(RuntimeError):
+        entry.scheduler.assign_all_waiting()
+    entry.scheduler.assign_all_waiting()
+    assert len(waiting.assignments) == 1
