Begin no waiting request while an entry aborts those in flight

Callers saw: at a second stop, requests that waited were sent to an endpoint and cut, and were answered 502 (may have run) instead of 503 (not run).

Ending a request frees its slot, and the scheduler gave it to a request that was itself about to be ended.

Change: abort_requests closes the stop budget, refuses what waits, then ends what is in flight. Requests that arrive after that are refused too.

--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -204,6 +204,8 @@
 
     def stop(self) -> None:
         """Ends the request because the process is about to exit."""
+        if self._has_ended:
+            return
         self._give_up(outcomes.Reason.DRAINING, "this entry has stopped")
 
     # Start of an attempt.
--- a/libs/gateway/src/godwitdale_gateway/gateway.py
+++ b/libs/gateway/src/godwitdale_gateway/gateway.py
@@ -321,6 +321,10 @@
         The connection of an answer that has begun is reset.
         """
         self._log.warning("cut", in_work=len(self._forwarders))
+        # Nothing begins any more: the end of a request would free its slot for
+        # a waiting one.
+        self._stop_budget.close()
+        self._refuse_late_requests()
         for forwarder in list(self._forwarders):
             forwarder.stop()
 
