Begin no queued request while an agent aborts those in flight

Callers saw: at a second stop of an agent its queued requests were sent to the endpoint and cut; their verdict was may-have-run, and idempotency keys were used up.

The cancelled call of a started request ends in start_queued, which starts the next one.

Evidence: test_queued_request_starts_while_an_agent_aborts_its_requests on the old code: 5 of 5 requests were sent where 2 had a slot; 2 now.

Change: abort_all refuses the queued requests before it cancels the calls.

--- a/libs/godwitdale/src/godwitdale/execution.py
+++ b/libs/godwitdale/src/godwitdale/execution.py
@@ -131,10 +131,11 @@
 
     def abort_all(self) -> None:
         """Ends all requests; each gets the verdict that applies to it."""
-        for request in list(self._requests.values()):
-            if request.call is not None:
-                request.call.cancel()
-            else:
+        requests = list(self._requests.values())
+        calls = [each.call for each in requests if each.call is not None]
+        # The end of a started request would start a queued one.
+        for request in requests:
+            if request.call is None:
                 self._withdraw(request)
                 self._refuse(
                     request,
@@ -142,6 +143,8 @@
                         outcomes.Reason.DRAINING, "the agent stops"
                     ),
                 )
+        for call in calls:
+            call.cancel()
 
     def refuse_expired(self) -> None:
         """Refuses the queued requests whose deadline has passed."""
