Resume streams after ids of any length, and only after a known one

Cause: parse_integer returns None beyond 15 digits, and None also meant that an event has no id. The stream was then resumed without Last-Event-Id, as were streams whose events bear no id at all. A caller's own Last-Event-Id was dropped or changed in the same way.

Change: ids stay text, in a module of their own; a stream whose last event has no id with an order is cut as incomplete instead of being resumed.

--- a/libs/gateway/src/godwitdale_gateway/dialect.py
+++ b/libs/gateway/src/godwitdale_gateway/dialect.py
@@ -17,7 +17,7 @@
         api_key: The caller's API key, or None.
         time_left_s: How long the caller will wait for the answer, or None.
         last_event_id: Id of the last event of a stream that the caller has
-            received, or None.
+            received, as it sent it, or None.
         prompt_tokens: Length of the prompt, 0 if unknown.
         expected_answer_tokens: Expected length of the answer, 0 if unknown.
         shared_parts: Ids of the parts of the prompt that other requests may
@@ -28,7 +28,7 @@
     host: str
     api_key: str | None
     time_left_s: float | None
-    last_event_id: int | None
+    last_event_id: bytes | None
     prompt_tokens: int
     expected_answer_tokens: float
     shared_parts: tuple[str, ...] = ()
@@ -53,7 +53,7 @@
     endpoint_id: str
     account: str | None
     time_left_s: float
-    last_event_id: int | None
+    last_event_id: bytes | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/godwitdale_gateway/event_stream.py
+++ b/libs/gateway/src/godwitdale_gateway/event_stream.py
@@ -2,9 +2,10 @@
 
 import dataclasses
 
-from godwitdale_verdicts import decoding
+from godwitdale_gateway import event_ids
 
-_ID_FIELD = b"id:"
+_ID_FIELD = b"id"
+_DATA_FIELD = b"data"
 _BLANK_LINES = (b"\n\n", b"\r\n\r\n")
 _MAX_BLANK_LINE_BYTES = 4
 # Maximum size of an event, and maximum number of parts in which it arrives.
@@ -19,11 +20,13 @@
 
     Attributes:
         data: Bytes of the event, with the blank line that ends it.
-        id: Value of the event's id field, or None without a numeric id.
+        id: Id of the event, or None without an id that has an order.
+        has_content: Whether the event is more than a comment.
     """
 
     data: bytes
-    id: int | None
+    id: bytes | None
+    has_content: bool
 
 
 class EventSplitter:
@@ -80,8 +83,11 @@
 
 
 def _parse_event(data: bytes) -> Event:
+    event_id = None
+    has_content = False
     for line in data.splitlines():
-        if line.startswith(_ID_FIELD):
-            value = line[len(_ID_FIELD) :].strip()
-            return Event(data, decoding.parse_integer(value))
-    return Event(data, None)
+        name, _, value = line.partition(b":")
+        if name == _ID_FIELD:
+            event_id = event_ids.parse(value)
+        has_content = has_content or name in (_ID_FIELD, _DATA_FIELD)
+    return Event(data, event_id, has_content)
--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -11,6 +11,7 @@
 from godwitdale_gateway import answer_times
 from godwitdale_gateway import dialect as dialect_lib
 from godwitdale_gateway import directory as directory_lib
+from godwitdale_gateway import event_ids
 from godwitdale_gateway import event_stream
 from godwitdale_gateway import part_guard as part_guard_lib
 from godwitdale_gateway import refusals
@@ -170,6 +171,8 @@
         self._has_survived = False
         self._splitter = event_stream.EventSplitter()
         self._last_event_id = request.headers.last_event_id
+        # Whether the caller has exactly the events up to ``_last_event_id``.
+        self._is_position_known = True
         # Whether an attempt has broken off inside an event that is still to
         # come.
         self._misses_event = False
@@ -229,6 +232,7 @@
                 previous=self._last_endpoint_id,
                 attempts=self._attempt_count,
                 may_have_run=self._earlier_may_have_run,
+                after_event=(self._last_event_id or b"").decode("latin-1"),
                 left_s=round(self._time_left_s(), 3),
             )
         self.tried_endpoints.add(record.endpoint.id)
@@ -480,7 +484,11 @@
     def _forward_event(self, event: event_stream.Event) -> None:
         """Sends an event to the caller unless the caller already has it."""
         last = self._last_event_id
-        if event.id is not None and last is not None and event.id <= last:
+        if (
+            event.id is not None
+            and last is not None
+            and event_ids.is_at_or_before(event.id, last)
+        ):
             return
         self._event_count += 1
         self._misses_event = False
@@ -493,6 +501,8 @@
         self._caller.send_data(event.data)
         if event.id is not None:
             self._last_event_id = event.id
+        if event.has_content:
+            self._is_position_known = event.id is not None
 
     def _record_part(self) -> None:
         """Reports the arrival of an answer part to the scheduler."""
@@ -625,7 +635,8 @@
         return attempts_lib.FailureContext(
             is_repeatable=route.is_repeatable,
             has_idempotency_key=attempts_lib.HasIdempotencyKey.NO,
-            has_answer_begun=self._has_sent_head and not route.is_resumable,
+            has_answer_begun=self._has_sent_head
+            and not (route.is_resumable and self._is_position_known),
             earlier_may_have_run=self._earlier_may_have_run,
             attempts=self._attempt_count,
             max_attempts=route.max_attempts,
--- a/tests/unit/test_event_stream.py
+++ b/tests/unit/test_event_stream.py
@@ -19,7 +19,7 @@
     for start, end in zip(ends, ends[1:], strict=False):
         events += splitter.feed(STREAM[start:end])
     assert b"".join(event.data for event in events) == STREAM
-    assert [event.id for event in events] == [1, 2, None, 4]
+    assert [event.id for event in events] == [b"1", b"2", None, b"4"]
     assert not splitter.has_partial_event
 
 
@@ -44,3 +44,24 @@
     assert splitter.is_too_large
     splitter.feed(b"\n\n")
     assert not splitter.is_too_large
+
+
+@pytest.mark.parametrize(
+    ("data", "event_id", "has_content"),
+    [
+        (b"id: 7\ndata: a\n\n", b"7", True),
+        (b"id:1764932000000001\ndata: a\n\n", b"1764932000000001", True),
+        (b"id: 1\nid: 2\ndata: a\n\n", b"2", True),
+        (b"id: 1\nid\ndata: a\n\n", None, True),
+        (b"id: part-7\ndata: a\n\n", None, True),
+        (b"idle: 7\ndata: a\n\n", None, True),
+        (b"id: 7\n\n", b"7", True),
+        (b"data: id: 7\n\n", None, True),
+        (b": id: 7\n\n", None, False),
+        (b"retry: 7\n\n", None, False),
+        (b"\n\n", None, False),
+    ],
+)
+def test_id_and_content_of_an_event(data, event_id, has_content):
+    (event,) = event_stream.EventSplitter().feed(data)
+    assert (event.id, event.has_content) == (event_id, has_content)
