Count the backlog of a caller from the first write that it did not read

Callers saw: endpoints that send events without end to callers that read nothing fill the memory of an entry, whose other requests end with it.

Cause: Twisted calls pauseProducing at every write while its buffer is full, and each call set the backlog to 0. The limit of 1 MB was never reached.

Change: only the first call starts the count. The end of a caller's connection is logged (cancelled), with the reason; there was no line for it.

--- a/libs/gateway/src/godwitdale_gateway/forwarding.py
+++ b/libs/gateway/src/godwitdale_gateway/forwarding.py
@@ -194,8 +194,20 @@
         else:
             self._refuse(refusal)
 
-    def cancel(self) -> None:
-        """Cancels the request because the caller has disconnected."""
+    def cancel(self, detail: str) -> None:
+        """Cancels the request because the caller's connection has ended.
+
+        Args:
+            detail: Why it has ended.
+        """
+        self._context.log.info(
+            "cancelled",
+            request=self._request.headers.request_id_text,
+            detail=detail,
+            endpoint=self._last_endpoint_id,
+            attempts=self._attempt_count,
+            events=self._event_count,
+        )
         self._cancel_attempt()
         self._end()
 
--- a/libs/http/src/godwitdale_http/callers.py
+++ b/libs/http/src/godwitdale_http/callers.py
@@ -63,8 +63,12 @@
 class ActiveRequest(Protocol):
     """A request that is being handled."""
 
-    def cancel(self) -> None:
-        """Stops handling the request because its caller disconnected."""
+    def cancel(self, detail: str) -> None:
+        """Stops handling the request because its connection has ended.
+
+        Args:
+            detail: Why the connection has ended.
+        """
 
 
 class RequestHandler(Protocol):
@@ -174,11 +178,15 @@
         active_request = self._active_request
         self._active_request = None
         if active_request is not None:
-            active_request.cancel()
+            active_request.cancel("the caller has disconnected")
 
     def pauseProducing(self) -> None:  # noqa: N802
-        """Starts to count the backlog: the caller reads too slowly."""
-        self._backlog_bytes = 0
+        """Starts to count the backlog: the caller reads too slowly.
+
+        Twisted calls this again at every write until the caller has read all.
+        """
+        if self._backlog_bytes is None:
+            self._backlog_bytes = 0
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Stops counting the backlog: the caller has read all of it."""
@@ -213,7 +221,7 @@
             return
         self._backlog_bytes += len(data)
         if self._backlog_bytes > _MAX_BACKLOG_BYTES:
-            self._abort_and_cancel()
+            self._abort_and_cancel("the caller reads too slowly")
 
     def end_answer(self) -> None:
         """Ends an answer whose body was sent in parts."""
@@ -276,13 +284,13 @@
         self._http.receive_data(data)
         rest, _ = self._http.trailing_data
         if len(rest) > _MAX_PIPELINED_BYTES:
-            self._abort_and_cancel()
+            self._abort_and_cancel("the caller sends too many requests ahead")
 
-    def _abort_and_cancel(self) -> None:
+    def _abort_and_cancel(self, detail: str) -> None:
         active_request = self._active_request
         self.abort()
         if active_request is not None:
-            active_request.cancel()
+            active_request.cancel(detail)
 
     def _process_events(self) -> None:
         while self._active_request is None and not self._is_closed:
@@ -422,7 +430,7 @@
 class _NoActiveRequest:
     """Placeholder for a request that is already answered or not yet started."""
 
-    def cancel(self) -> None:
+    def cancel(self, detail: str) -> None:
         """Does nothing; there is nothing to cancel."""
 
 
--- a/libs/observe/src/godwitdale_observe/traces.py
+++ b/libs/observe/src/godwitdale_observe/traces.py
@@ -38,7 +38,8 @@
 _SERVICE_LOAD = "service_load"
 _ATTEMPT_FAILED = "attempt_failed"
 _REFUSED = "refused"
-_FINAL_EVENTS = (_REFUSED, "answered")
+_CANCELLED = "cancelled"
+_FINAL_EVENTS = (_REFUSED, _CANCELLED, "answered")
 _EXPLANATIONS = {
     outcomes.Reason.OVERLOADED: (
         "the service had too little free capacity to answer in time; see the "
@@ -282,6 +283,8 @@
     last_event = request_events[-1]
     if last_event.event not in _FINAL_EVENTS:
         return "the logs do not contain the end of the request"
+    if last_event.event == _CANCELLED:
+        return f"cancelled: {last_event.fields.get('detail', '')}"
     if last_event.event != _REFUSED:
         failed = sum(event.event == _ATTEMPT_FAILED for event in request_events)
         return f"answered, after {failed} failed attempts"
