Bound the answers that agents, members and clients of the log keep

Callers saw: an endpoint that answers the poll of its load, or a command to a rank, with a body without end fills the memory of its agent, and the requests of other callers there end with it. The log and the instance list could do so to every process. A body that never ended kept the task waiting for ever.

Cause: treq.content has no bound, and the time limit of treq ends with the head of an answer.

Change: bodies.read keeps a body within limits on size and time and closes the connection beyond them; used by all clients of the platform and by the status. An append whose answer has no end counts as unknown, as other lost answers do.

--- a/libs/godwitdale/src/godwitdale/cli.py
+++ b/libs/godwitdale/src/godwitdale/cli.py
@@ -151,7 +151,7 @@
             _print_line(f"accepted {each.key} version {each.version}")
         if wait_s > 0:
             source = instances_lib.HttpInstanceList(
-                instances_url, _PLATFORM_TIMEOUT_S
+                instances_url, reactor, _PLATFORM_TIMEOUT_S
             )
             await publishing.wait_until_applied(
                 source, published.next_offset, wait_s, reactor
@@ -247,9 +247,9 @@
 
     async def print_statuses(reactor: Any) -> None:
         source = instances_lib.HttpInstanceList(
-            instances_url, _PLATFORM_TIMEOUT_S
+            instances_url, reactor, _PLATFORM_TIMEOUT_S
         )
-        statuses = await publishing.fetch_statuses(source)
+        statuses = await publishing.fetch_statuses(source, reactor)
         if as_json:
             rows = [
                 {"instance": each.instance, "status": each.status}
--- a/libs/godwitdale/src/godwitdale/daemon.py
+++ b/libs/godwitdale/src/godwitdale/daemon.py
@@ -66,7 +66,7 @@
         )
         self._membership = membership_lib.Membership(
             instances_lib.HttpInstanceList(
-                platform.instances_url, platform.timeout_s
+                platform.instances_url, reactor, platform.timeout_s
             ),
             reactor,
             self._rng,
--- a/libs/godwitdale/src/godwitdale/local_system.py
+++ b/libs/godwitdale/src/godwitdale/local_system.py
@@ -151,7 +151,7 @@
     def _instance_list_client(self) -> instances_lib.HttpInstanceList:
         assert self._platform is not None
         return instances_lib.HttpInstanceList(
-            self._platform.instances_url, _TIMEOUT_S
+            self._platform.instances_url, self._reactor, _TIMEOUT_S
         )
 
     def _serve(self, service: Any) -> str:
--- a/libs/godwitdale/src/godwitdale/publishing.py
+++ b/libs/godwitdale/src/godwitdale/publishing.py
@@ -12,6 +12,7 @@
 from godwitdale_declarations import fold as fold_lib
 from godwitdale_declarations import objects
 from godwitdale_declarations import records
+from godwitdale_platform import bodies
 from godwitdale_platform import instances as instances_lib
 from godwitdale_platform import log as log_lib
 from godwitdale_verdicts import exceptions
@@ -19,6 +20,8 @@
 _RETRY_DELAY_S = 0.2
 _POLL_INTERVAL_S = 0.2
 _STATUS_TIMEOUT_S = 1.0
+# Limits on the status of an instance, which contains its histograms.
+_STATUS_LIMITS = bodies.Limits(16 << 20, part_s=_STATUS_TIMEOUT_S, total_s=5.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -193,29 +196,32 @@
 
 
 async def fetch_statuses(
-    source: instances_lib.HttpInstanceList,
+    source: instances_lib.HttpInstanceList, clock: Any
 ) -> list[InstanceStatus]:
     """Fetches the status of every listed instance.
 
     Args:
         source: Client of the platform's instance list.
+        clock: A Twisted ``IReactorTime``.
 
     Raises:
         exceptions.PlatformUnavailableError: The instance list did not answer.
     """
     statuses = []
     for instance in await source.fetch():
-        statuses.append(InstanceStatus(instance, await _fetch_status(instance)))
+        status = await _fetch_status(instance, clock)
+        statuses.append(InstanceStatus(instance, status))
     return statuses
 
 
 async def _fetch_status(
-    instance: instances_lib.Instance,
+    instance: instances_lib.Instance, clock: Any
 ) -> dict[str, Any] | None:
     url = f"http://{instance.host}:{instance.admin_port}/status"
     try:
         response = await treq.get(url, timeout=_STATUS_TIMEOUT_S)
-        return msgspec.json.decode(await treq.content(response))
+        body = await bodies.read(response, _STATUS_LIMITS, clock)
+        return msgspec.json.decode(body)
     except Exception:  # The caller reports an instance without a status.
         return None
 
@@ -242,7 +248,7 @@
     while True:
         lagging = [
             f"{each.instance.name} (at {each.next_offset})"
-            for each in await fetch_statuses(source)
+            for each in await fetch_statuses(source, clock)
             if each.next_offset < next_offset
         ]
         if not lagging:
--- a/libs/platform/src/godwitdale_platform/endpoint_client.py
+++ b/libs/platform/src/godwitdale_platform/endpoint_client.py
@@ -5,7 +5,6 @@
 connection breaks, it is unknown whether the endpoint received the request.
 """
 
-from collections.abc import Callable
 import dataclasses
 import io
 from typing import Any
@@ -15,14 +14,17 @@
 import treq
 from twisted.internet import defer
 from twisted.internet import error
-from twisted.internet import protocol
-from twisted.python import failure
 from twisted.web import client
 from twisted.web import http_headers
 from twisted.web import iweb
 
+from godwitdale_platform import bodies
+
 Headers = list[tuple[str, str]]
 
+# Maximum size of a JSON document, such as a report of the experts of a rank.
+_MAX_JSON_BYTES = 4 << 20
+
 # Headers that apply to a single connection and are never forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -104,29 +106,6 @@
     timeout_s: float
 
 
-class _BodyReceiver(protocol.Protocol):
-    """Receives a body; ``done`` fires with the reason why the body ended."""
-
-    def __init__(self, on_data: Callable[[bytes], None]) -> None:
-        self._on_data = on_data
-        self.done: defer.Deferred[BaseException | None] = defer.Deferred()
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        self._on_data(data)
-
-    def connectionLost(  # noqa: N802
-        self, reason: failure.Failure = protocol.connectionDone
-    ) -> None:
-        if not self.done.called:
-            self.done.callback(reason.value)
-
-    def abort(self) -> None:
-        """Closes the connection to the endpoint."""
-        transport: Any = self.transport
-        if transport is not None:
-            transport.loseConnection()
-
-
 def body_producer(data: bytes) -> iweb.IBodyProducer:
     """Returns a producer that sends a request body.
 
@@ -220,7 +199,7 @@
             if name.decode("latin-1").lower() not in HOP_BY_HOP_HEADERS
         ]
         receiver.on_head(response.code, headers)
-        body = _BodyReceiver(receiver.on_data)
+        body = bodies.BodyReceiver(receiver.on_data)
         response.deliverBody(body)
         timer = self._reactor.callLater(remaining_s, body.abort)
         try:
@@ -242,24 +221,47 @@
         Args:
             path: Path with the query.
             body: Value that is sent as JSON.
-            timeout_s: Maximum time of the call.
+            timeout_s: Maximum time of the call, the body included.
+
+        Raises:
+            bodies.IncompleteBodyError: The answer broke off, is too large or
+                did not end in time.
         """
+        started_s = self._reactor.seconds()
         response = await treq.post(
             self._base_url + path,
             data=msgspec.json.encode(body),
             timeout=timeout_s,
             agent=self._unpooled_agent,
+            reactor=self._reactor,
         )
-        return msgspec.json.decode(await treq.content(response))
+        return await self._read_json(response, started_s + timeout_s)
 
     async def get_json(self, path: str, timeout_s: float) -> Any:
         """Fetches and decodes a JSON document, such as a load report.
 
         Args:
             path: Path with the query.
-            timeout_s: Maximum time of the call.
+            timeout_s: Maximum time of the call, the body included.
+
+        Raises:
+            bodies.IncompleteBodyError: The answer broke off, is too large or
+                did not end in time.
         """
+        started_s = self._reactor.seconds()
         response = await treq.get(
-            self._base_url + path, timeout=timeout_s, agent=self._pooled_agent
+            self._base_url + path,
+            timeout=timeout_s,
+            agent=self._pooled_agent,
+            reactor=self._reactor,
+        )
+        return await self._read_json(response, started_s + timeout_s)
+
+    async def _read_json(
+        self, response: iweb.IResponse, deadline_s: float
+    ) -> Any:
+        left_s = max(0.0, deadline_s - self._reactor.seconds())
+        limits = bodies.Limits(_MAX_JSON_BYTES, part_s=left_s, total_s=left_s)
+        return msgspec.json.decode(
+            await bodies.read(response, limits, self._reactor)
         )
-        return msgspec.json.decode(await treq.content(response))
--- a/libs/platform/src/godwitdale_platform/log.py
+++ b/libs/platform/src/godwitdale_platform/log.py
@@ -16,12 +16,17 @@
 from twisted.web import client
 from twisted.web import iweb
 
+from godwitdale_platform import bodies
 from godwitdale_verdicts import decoding
 from godwitdale_verdicts import exceptions
 
 _CREATED = 201
 _OK = 200
 _MAX_RECORDS_PER_PAGE = 1000
+# Maximum size of a page, which may contain a snapshot of all declarations.
+_MAX_PAGE_BYTES = 32 << 20
+# Maximum time to transfer a page of that size over a slow link.
+_MAX_TRANSFER_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,7 +126,11 @@
                 wait for new records.
         """
         self._base_url = base_url.rstrip("/")
+        self._reactor = reactor
         self._timeout_s = timeout_s
+        self._body_limits = bodies.Limits(
+            _MAX_PAGE_BYTES, part_s=timeout_s, total_s=_MAX_TRANSFER_S
+        )
         pool = client.HTTPConnectionPool(reactor)
         pool.retryAutomatically = False
         self._http_client = treq.client.HTTPClient(
@@ -146,13 +155,16 @@
             response = await self._http_client.post(
                 self._records_url(stream), data=data, timeout=self._timeout_s
             )
-            body = await treq.content(response)
+            body = await self._read_body(response)
         except (error.ConnectError, error.ConnectingCancelledError) as cause:
             return NotAppended(f"the log cannot be reached: {cause}")
         except Exception as cause:  # A lost answer leaves this unknown.
             return AppendUnknown(f"no answer from the log: {cause!r}")
         return self._append_outcome(response, body)
 
+    async def _read_body(self, response: iweb.IResponse) -> bytes:
+        return await bodies.read(response, self._body_limits, self._reactor)
+
     def _append_outcome(
         self, response: iweb.IResponse, body: bytes
     ) -> AppendOutcome:
@@ -189,7 +201,7 @@
                 params=params,
                 timeout=self._timeout_s + wait_s,
             )
-            body = await treq.content(response)
+            body = await self._read_body(response)
         except Exception as cause:
             raise exceptions.PlatformUnavailableError(
                 f"the log does not answer: {cause!r}"
