Bound the answers in progress that an agent keeps

Callers saw: an endpoint that answers a request without end fills the memory of its agent, which keeps answers for entries that resume them; the requests of other callers there end with it.

Cause: nothing counted the bytes of answers in progress. A single event without end was also copied at every part that arrived.

Change: an answer beyond 24 MB, or 512 kB while all have more than 32 MB, ends with may-have-run; the entries' count of buffered answers is used.

--- a/libs/gateway/src/godwitdale_gateway/answer_buffer.py
+++ b/libs/gateway/src/godwitdale_gateway/answer_buffer.py
@@ -18,17 +18,24 @@
         total_bytes: Their sum.
     """
 
-    __slots__ = ("total_bytes",)
+    __slots__ = ("total_bytes", "_max_answer_bytes")
 
-    def __init__(self) -> None:
+    def __init__(self, max_answer_bytes: int = _MAX_ANSWER_BYTES) -> None:
+        """Creates a count of no bytes.
+
+        Args:
+            max_answer_bytes: Maximum size of one answer while the buffers are
+                not crowded.
+        """
         self.total_bytes = 0
+        self._max_answer_bytes = max_answer_bytes
 
     @property
     def max_answer_bytes(self) -> int:
         """Maximum size of one answer at present."""
         if self.total_bytes > _MAX_TOTAL_BYTES:
             return _MAX_CROWDED_ANSWER_BYTES
-        return _MAX_ANSWER_BYTES
+        return self._max_answer_bytes
 
 
 class AnswerBuffer:
--- a/libs/godwitdale/src/godwitdale/execution.py
+++ b/libs/godwitdale/src/godwitdale/execution.py
@@ -14,6 +14,7 @@
 from godwitdale import feed as feed_lib
 from godwitdale_claims import claimant as claimant_lib
 from godwitdale_claims import records as claim_records
+from godwitdale_gateway import answer_buffer
 from godwitdale_link import messages
 from godwitdale_link import server as link_server
 from godwitdale_observe import histograms
@@ -31,6 +32,8 @@
 _MAX_REPORTED_ACCOUNTS = 16
 _MAX_OUTCOME_WAIT_S = 3.0
 _CLAIM_TIMEOUT_SHARE = 0.5
+# Maximum size of one answer, as much as the finished answers that are kept.
+_MAX_ANSWER_BYTES = 24 << 20
 _REPLAYED_HEADER = ("Idempotency-Replayed", "true")
 
 
@@ -98,6 +101,7 @@
             identifiers.RequestId, agent_request.AgentRequest
         ] = {}
         self._running = 0
+        self._answer_usage = answer_buffer.BufferUsage(_MAX_ANSWER_BYTES)
         self._account_counts: collections.OrderedDict[
             str, limits.DecayingCount
         ] = collections.OrderedDict()
@@ -433,7 +437,9 @@
         reactor = self._dependencies.reactor
         started_s = reactor.seconds()
         queued_s = started_s - request.arrived_s
-        forwarder = agent_request.AnswerForwarder(request, queued_s)
+        forwarder = agent_request.AnswerForwarder(
+            request, queued_s, self._answer_usage
+        )
         try:
             outcome = await self._dependencies.backend.send(
                 self._endpoint_request(request, started_s), forwarder
@@ -441,8 +447,11 @@
         except defer.CancelledError:
             outcome = endpoint_client.AnswerLost("cancelled")
         finally:
+            forwarder.close()
             self._running -= 1
             self._service_time.observe(reactor.seconds() - started_s)
+        if forwarder.is_too_large:
+            outcome = endpoint_client.AnswerLost("it is too large")
         self._record_times(request, queued_s, reactor.seconds() - started_s)
         self._on_call_end(request, forwarder, outcome)
         self.start_queued()
--- a/libs/platform/src/godwitdale_platform/bodies.py
+++ b/libs/platform/src/godwitdale_platform/bodies.py
@@ -39,18 +39,20 @@
         done: Fires with the reason why the body has ended.
     """
 
-    def __init__(self, on_data: Callable[[bytes], None]) -> None:
+    def __init__(self, on_data: Callable[[bytes], bool]) -> None:
         """Creates a receiver for one answer.
 
         Args:
-            on_data: Called with each part of the body, in order.
+            on_data: Called with each part of the body, in order. Returns
+                whether to go on; otherwise, the connection is closed.
         """
         self._on_data = on_data
         self.done: defer.Deferred[BaseException | None] = defer.Deferred()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Passes a part on."""
-        self._on_data(data)
+        if not self._on_data(data):
+            self.abort()
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -100,24 +102,25 @@
         if self._timer.active():
             self._timer.cancel()
 
-    def _on_data(self, data: bytes) -> None:
+    def _on_data(self, data: bytes) -> bool:
         if self.failure_detail is not None:
-            return
+            return False
         self.body += data
         if len(self.body) > self._limits.max_bytes:
             self._fail(f"more than {self._limits.max_bytes} bytes")
-            return
+            return False
         left_s = self._deadline_s - self._clock.seconds()
         self._timer.reset(max(0.0, min(self._limits.part_s, left_s)))
+        return True
 
     def _on_timeout(self) -> None:
         self._fail("it did not end in time")
+        self.receiver.abort()
 
     def _fail(self, detail: str) -> None:
         self.failure_detail = detail
         self.body.clear()
         self.close()
-        self.receiver.abort()
 
 
 async def read(response: iweb.IResponse, limits: Limits, clock: Any) -> bytes:
--- a/libs/platform/src/godwitdale_platform/endpoint_client.py
+++ b/libs/platform/src/godwitdale_platform/endpoint_client.py
@@ -80,8 +80,12 @@
     def on_head(self, status: int, headers: Headers) -> None:
         """Called with the status and the headers."""
 
-    def on_data(self, data: bytes) -> None:
-        """Called with each part of the body, in order."""
+    def on_data(self, data: bytes) -> bool:
+        """Called with each part of the body, in order.
+
+        Returns:
+            Whether to go on; otherwise, the connection is closed.
+        """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
