Test the assignment with requests that act while they are assigned

Requests keep their slot, return it, end another request or submit themselves anew from inside on_assigned, in orders that Hypothesis draws. Each holds one slot at most, no slot is lost, and none stays free that a waiting request may use.

--- a/tests/unit/test_scheduler.py
+++ b/tests/unit/test_scheduler.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 import scheduling
 from twisted.internet import task
@@ -400,3 +402,87 @@
         entry.scheduler.assign_all_waiting()
     entry.scheduler.assign_all_waiting()
     assert len(waiting.assignments) == 1
+
+
+class ScriptedRequest(scheduling.PendingRequest):
+    """A request that acts while it is being assigned.
+
+    Attributes:
+        open_count: Number of slots that it holds.
+        most_open: Highest ``open_count``.
+        has_ended: Whether it has ended, so that it needs no slot any more.
+    """
+
+    def __init__(self, entry, action):
+        super().__init__(entry.clock)
+        self.open_count = 0
+        self.most_open = 0
+        self.has_ended = False
+        self.others = []
+        self._action = action
+        self._scheduler = entry.scheduler
+
+    def on_assigned(self, record):
+        super().on_assigned(record)
+        assert not self.has_ended
+        self.open_count += 1
+        self.most_open = max(self.most_open, self.open_count)
+        if self._action == "keep":
+            return
+        if self._action == "end another":
+            for other in self.others[:1]:
+                other.end()
+        self.open_count -= 1
+        self._scheduler.release(record)
+        if self._action == "try again" and len(self.assignments) == 1:
+            self.tried_endpoints.add(record.endpoint.id)
+            self._scheduler.submit(self)
+        else:
+            self.has_ended = True
+
+    def on_refused(self, refusal):
+        super().on_refused(refusal)
+        self.has_ended = True
+
+    def end(self):
+        if not self.has_ended:
+            self.has_ended = True
+            self._scheduler.withdraw(self)
+            if self.open_count:
+                self.open_count -= 1
+                self._scheduler.release(self.record)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.sampled_from(["keep", "return", "end another", "try again"]),
+        max_size=14,
+    )
+)
+def test_request_gets_two_slots_whatever_others_do_meanwhile(actions):
+    """Guards against requests that run twice, and against lost slots."""
+    clock = task.Clock()
+    entry = scheduling.Entry(clock)
+    entry.scheduler.service_times(scheduling.SERVICE).total_s = 0.05
+    entry.take_all_slots()
+    requests = [ScriptedRequest(entry, action) for action in actions]
+    for number, request in enumerate(requests):
+        request.others = requests[number + 1 :]
+        entry.scheduler.submit(request)
+    entry.take_all_slots(is_taken=False)
+    entry.scheduler.assign_all_waiting()
+    assert all(request.most_open <= 1 for request in requests)
+    held = sum(request.open_count for request in requests)
+    in_flight = [record.stats.in_flight for record in entry.directory.records()]
+    assert sum(in_flight) == held
+    free = {
+        record.endpoint.id
+        for record in entry.directory.records()
+        if record.stats.in_flight < record.endpoint.slots
+    }
+    assert all(
+        request.has_ended
+        or request.open_count
+        or free <= request.tried_endpoints
+        for request in requests
+    )
