--- a/libs/gateway/src/godwitdale_gateway/event_stream.py
+++ b/libs/gateway/src/godwitdale_gateway/event_stream.py
@@ -21,7 +21,7 @@
     Attributes:
         data: Bytes of the event, with the blank line that ends it.
         id: Id of the event, or None without an id that has an order.
-        has_content: Whether the event is more than a comment.
+        has_content: Whether it has data or an id; a comment has neither.
     """
 
     data: bytes
