Start no queued request of an entry that has gone

Callers saw: a booking that waited at an agent when its entry ended was run after all, for nobody, when a running request of the same entry was cancelled.

The requests of a gone entry were cancelled one by one; the end of the running one started a queued one, and a started request that may not be repeated runs to its end.

Evidence: test_queued_orphan_starts_while_a_running_one_is_cancelled on the old code: the endpoint receives /1 and the booking /2; only /1 now.

Change: the link server passes all of them in one call, and the executor refuses the queued ones before it cancels calls, as in abort_all.

--- a/libs/godwitdale/src/godwitdale/execution.py
+++ b/libs/godwitdale/src/godwitdale/execution.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Sequence
 import dataclasses
 from typing import Any
 
@@ -137,18 +138,27 @@
         """Ends all requests; each gets the verdict that applies to it."""
         requests = list(self._requests.values())
         calls = [each.call for each in requests if each.call is not None]
-        # The end of a started request would start a queued one.
+        self._refuse_queued(
+            requests,
+            outcomes.not_run(outcomes.Reason.DRAINING, "the agent stops"),
+        )
+        for call in calls:
+            call.cancel()
+
+    def _refuse_queued(
+        self,
+        requests: Sequence[agent_request.AgentRequest],
+        refusal: outcomes.Refusal,
+    ) -> None:
+        """Refuses those of some requests that have not been started.
+
+        This comes before started ones are cancelled, since the end of a started
+        request starts a queued one.
+        """
         for request in requests:
             if request.call is None:
                 self._withdraw(request)
-                self._refuse(
-                    request,
-                    outcomes.not_run(
-                        outcomes.Reason.DRAINING, "the agent stops"
-                    ),
-                )
-        for call in calls:
-            call.cancel()
+                self._refuse(request, refusal)
 
     def refuse_expired(self) -> None:
         """Refuses the queued requests whose deadline has passed."""
@@ -234,23 +244,27 @@
         del self._requests[request_id]
         return False
 
-    def cancel(self, request_id: identifiers.RequestId) -> None:
-        """Cancels a request whose answer is no longer needed.
+    def cancel(self, request_ids: Sequence[identifiers.RequestId]) -> None:
+        """Cancels requests whose answers are no longer needed.
 
         A started request that must not be repeated continues, because its
         outcome has to be known.
         """
-        request = self._requests.get(request_id)
-        if request is None:
-            return
-        if request.call is None:
-            self._withdraw(request)
-            self._refuse(
-                request,
-                outcomes.not_run(outcomes.Reason.CANCELLED, "cancelled"),
-            )
-        elif request.submit.repeatable:
-            request.call.cancel()
+        requests = [
+            request
+            for request_id in request_ids
+            if (request := self._requests.get(request_id)) is not None
+        ]
+        calls = [
+            request.call
+            for request in requests
+            if request.call is not None and request.submit.repeatable
+        ]
+        self._refuse_queued(
+            requests, outcomes.not_run(outcomes.Reason.CANCELLED, "cancelled")
+        )
+        for call in calls:
+            call.cancel()
 
     def on_call(self, kind: str, body: bytes) -> "defer.Deferred[bytes]":
         """Executes a call of another agent and returns its encoded result."""
--- a/libs/link/src/godwitdale_link/server.py
+++ b/libs/link/src/godwitdale_link/server.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 from typing import Any
 from typing import Protocol
@@ -51,8 +52,12 @@
     def revoke(self, request_id: identifiers.RequestId) -> bool:
         """Prevents a request from starting; returns whether it has started."""
 
-    def cancel(self, request_id: identifiers.RequestId) -> None:
-        """Cancels a request whose answer is no longer needed."""
+    def cancel(self, request_ids: Sequence[identifiers.RequestId]) -> None:
+        """Cancels requests whose answers are no longer needed.
+
+        All of them are passed in one call: the end of one makes room, which
+        must not be given to another of them.
+        """
 
     def on_call(self, kind: str, body: bytes) -> "defer.Deferred[bytes]":
         """Executes a call that arrived on a link; returns its encoded result.
@@ -327,11 +332,13 @@
             self._sinks.pop(oldest.buffer.id, None)
 
     def _cancel_orphans(self) -> None:
-        for request_id, sink in list(self._sinks.items()):
-            if sink.finished_at_s is None and not self._has_connected_reader(
-                sink
-            ):
-                self._handler.cancel(request_id)
+        orphans = [
+            request_id
+            for request_id, sink in self._sinks.items()
+            if sink.finished_at_s is None
+            and not self._has_connected_reader(sink)
+        ]
+        self._handler.cancel(orphans)
 
     def _has_connected_reader(self, sink: AnswerSink) -> bool:
         return any(reader in self._connections for reader in sink.readers)
@@ -455,7 +462,7 @@
         self._attempt_history.record_revoked_if_unseen(message.id)
         sink = self._sinks.get(message.id)
         if sink is not None and sink.finished_at_s is None:
-            self._handler.cancel(message.id)
+            self._handler.cancel([message.id])
 
     def _on_received(
         self, connection: _EntryConnection, message: messages.AnswerReceived
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -1,15 +1,20 @@
 """Builders of agents' requests and of what an executor calls, for tests."""
 
 from twisted.internet import defer
+from twisted.internet import testing
 
 from godwitdale import agent_request
 from godwitdale import execution
 from godwitdale_link import messages
+from godwitdale_link import server as link_server
 from godwitdale_observe import histograms
 from godwitdale_observe import logs
 from godwitdale_platform import endpoint_client
 from godwitdale_verdicts import identifiers
 
+# How long a request continues without an entry that waits for it.
+ORPHAN_TIMEOUT_S = 5.0
+
 
 class Backend:
     """Stands in for the endpoint; its calls last until they are cancelled.
@@ -112,6 +117,12 @@
         self.policy = self
         self.stale_limit_s = 60.0
 
+    def position(self):
+        return messages.Position(0, 0.0)
+
+    def on_peer_position(self, position):
+        return False
+
     def is_too_far_behind(self, position, catch_up_s):
         return False
 
@@ -138,7 +149,25 @@
     return execution.Executor(dependencies, "agent", slots, 0.1, 1.0), backend
 
 
-def submit_message(number):
+def connect_entry(executor_, clock):
+    """Returns the agent's end of a connection that an entry has opened."""
+    server = link_server.LinkServer(
+        "agent",
+        "endpoint",
+        executor_,
+        clock,
+        link_server.RetentionPolicy(orphan_timeout_s=ORPHAN_TIMEOUT_S),
+    )
+    executor_.attach_server(server)
+    connection = server.buildProtocol(None)
+    connection.makeConnection(testing.StringTransport())
+    connection.message_received(
+        messages.Hello("entry", 1, messages.Position(0, 0.0))
+    )
+    return connection
+
+
+def submit_message(number, is_repeatable=False):
     """Returns the message that submits a request."""
     return messages.Submit(
         id=identifiers.RequestId("entry", number),
@@ -151,7 +180,7 @@
         first_byte_timeout_s=5.0,
         timeout_s=5.0,
         key_digest=None,
-        repeatable=False,
+        repeatable=is_repeatable,
         method="POST",
         path=f"/{number}",
         headers=[],
--- a/tests/unit/test_execution.py
+++ b/tests/unit/test_execution.py
@@ -28,6 +28,22 @@
     assert executor.in_flight == 0
 
 
+def test_queued_orphan_starts_while_a_running_one_is_cancelled():
+    """Guards against work that begins for an entry that has gone."""
+    clock = task.Clock()
+    executor, backend = agents.executor(clock, slots=1)
+    connection = agents.connect_entry(executor, clock)
+    for number, is_repeatable in ((1, True), (2, False), (3, True)):
+        connection.message_received(
+            agents.submit_message(number, is_repeatable)
+        )
+    assert backend.received == ["/1"]
+    connection.connectionLost()
+    clock.advance(agents.ORPHAN_TIMEOUT_S)
+    assert backend.received == ["/1"]
+    assert executor.in_flight == 0
+
+
 @pytest.mark.parametrize(
     "part", [b"x" * 65536, b"data: " + b"x" * 30_000 + b"\n\n"]
 )
--- a/tests/unit/test_link.py
+++ b/tests/unit/test_link.py
@@ -109,7 +109,7 @@
     def revoke(self, request_id):
         return request_id in self.started
 
-    def cancel(self, request_id):
+    def cancel(self, request_ids):
         pass
 
 
