--- a/tests/unit/test_traces.py
+++ b/tests/unit/test_traces.py
@@ -107,6 +107,22 @@
     assert endpoints == {"i-7"}
 
 
+def test_a_cancelled_request_shows_why_its_connection_has_ended(write_log):
+    lines = [
+        log_line(1.0, "attempt_failed", request=REQUEST, endpoint="i-7"),
+        log_line(1.1, "attempt_repeated", request=REQUEST, endpoint="i-8"),
+        log_line(
+            2.0,
+            "cancelled",
+            request=REQUEST,
+            detail="the caller reads too slowly",
+        ),
+    ]
+    (request_trace,) = trace(write_log(lines))
+    assert request_trace.outcome == "cancelled"
+    assert request_trace.cause == "cancelled: the caller reads too slowly"
+
+
 def test_events_are_grouped_by_entry_in_any_order(write_log):
     other = [line.replace("edge-1", "edge-2") for line in LOST_ANSWER_LOG]
     lines = list(reversed(REFUSED_LOG)) + other
