--- a/review/parts-2/entry_links.py
+++ b/review/parts-2/entry_links.py
@@ -90,9 +90,7 @@
             return self._store.answer(request, sock)
         page = json.loads(self._store._newest(query, b"", None))
         page["items"] = [self._rewritten(each) for each in page["items"]]
-        sock.sendall(
-            standins.format_answer(200, json.dumps(page).encode())
-        )
+        sock.sendall(standins.format_answer(200, json.dumps(page).encode()))
         return True
 
     def _note(self, body):
--- a/review/parts-2/harness.py
+++ b/review/parts-2/harness.py
@@ -215,8 +215,7 @@
     return {
         "version": version,
         "routes": routes,
-        "services": services
-        or [{"name": "app", "health_path": "/healthz"}],
+        "services": services or [{"name": "app", "health_path": "/healthz"}],
         "limits": CALLER_LIMITS,
         "tenants": [{"name": "mill", "api_keys": ["key-1"]}],
     }
--- a/review/parts-2/rank_group.py
+++ b/review/parts-2/rank_group.py
@@ -169,7 +169,7 @@
         experts = [ranks[self.number] for ranks in order["map"]]
         new = [
             set(after) - set(before)
-            for after, before in zip(experts, self.experts)
+            for after, before in zip(experts, self.experts, strict=True)
         ]
         if any(len(each) > SPARE for each in new):
             return 409
